Answer a stream without further events; notice a silent store within five seconds

An empty answer is whole where the client has events (answers.rs, stream_of_which_the_client_has_all_events_is_whole_and_empty, failed before). The wait is 3.5 s; entries of gateways, on which no promise hangs, keep a longer one.

--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -195,16 +195,11 @@
 pub fn usable(world: &World, now: Timestamp, request: &Request) -> Vec<BackendServerKey> {
     let rows = world.backend_servers.rows.iter();
     let of_service = rows.filter(|(_, row)| row.listing.service == request.service);
-    let open: Vec<_> = of_service.filter(|(_, row)| row.takes_work()).collect();
-    let is_fresh = |key: &BackendServerKey| !request.avoided.contains(key);
-    let keep = |filter: &dyn Fn(&(BackendServerKey, &BackendServer)) -> bool| -> Vec<_> {
-        open.iter().filter(|row| filter(row)).map(|(key, _)| *key).collect()
-    };
-    let sound = keep(&|(key, row)| is_fresh(key) && !row.is_suspended(now));
-    if !sound.is_empty() {
-        return sound;
-    }
-    keep(&|(key, _)| is_fresh(key))
+    let open = of_service.filter(|(_, row)| row.takes_work());
+    let fresh = open.filter(|(key, _)| !request.avoided.contains(key));
+    let (sound, suspended): (Vec<_>, Vec<_>) = fresh.partition(|(_, row)| !row.is_suspended(now));
+    let kept = if sound.is_empty() { suspended } else { sound };
+    kept.into_iter().map(|(key, _)| key).collect()
 }
 
 /// The work at an engine.
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -32,13 +32,13 @@
 use snipespan_core::result_code::ResultCode;
 use snipespan_core::time::Timestamp;
 
-pub const HOST: &str = "shop.example";
-pub const API_KEY: &str = "key-1";
-pub const ENGINE: &str = "llm";
-pub const PLAIN: &str = "orders";
+pub(crate) const HOST: &str = "shop.example";
+pub(crate) const API_KEY: &str = "key-1";
+pub(crate) const ENGINE: &str = "llm";
+pub(crate) const PLAIN: &str = "orders";
 
 /// Figures of the engines of the users' first deployment.
-pub const ENGINE_SPEC: EngineSpec = EngineSpec {
+pub(crate) const ENGINE_SPEC: EngineSpec = EngineSpec {
     slots: 16,
     memory_tokens: 232_000,
     stride: 43,
@@ -52,15 +52,15 @@
     usual_output_tokens: 1303,
 };
 
-pub struct Kit {
-    pub world: World,
-    pub now: Timestamp,
-    pub effects: Vec<Effect>,
+pub(crate) struct Kit {
+    pub(crate) world: World,
+    pub(crate) now: Timestamp,
+    pub(crate) effects: Vec<Effect>,
     callers: SlotMap<CallerKey, ()>,
     arrived: u32,
 }
 
-pub fn settings() -> GatewaySettings {
+pub(crate) fn settings() -> GatewaySettings {
     GatewaySettings {
         node: "gateway-1".into(),
         data_centre: "graz-a".into(),
@@ -74,7 +74,7 @@
     }
 }
 
-pub fn route(prefix: &str, kind: RouteKind, service: u32) -> Route {
+pub(crate) fn route(prefix: &str, kind: RouteKind, service: u32) -> Route {
     let is_streaming = kind.is_streaming();
     Route {
         name: format_compact!("route{}", prefix.replace('/', "-")),
@@ -91,7 +91,7 @@
     }
 }
 
-pub fn serving(version: u64) -> Serving {
+pub(crate) fn serving(version: u64) -> Serving {
     serving_with(
         version,
         vec![
@@ -108,7 +108,7 @@
     )
 }
 
-pub fn serving_with(version: u64, routes: Vec<Route>) -> Serving {
+pub(crate) fn serving_with(version: u64, routes: Vec<Route>) -> Serving {
     let engine = Service { name: ENGINE.into(), engine: Some(ENGINE_SPEC) };
     let plain = Service { name: PLAIN.into(), engine: None };
     let account = Account { name: "account-1".into(), priority: None };
@@ -122,7 +122,7 @@
     Serving::new(ServingVersion(version), routes, vec![engine, plain], vec![account], keys, limits)
 }
 
-pub fn listing(service: &str, number: u8) -> Listing {
+pub(crate) fn listing(service: &str, number: u8) -> Listing {
     Listing {
         id: format_compact!("{service}-{number}"),
         born: 1,
@@ -135,17 +135,17 @@
     }
 }
 
-pub fn peer(number: u8) -> SocketAddr {
+pub(crate) fn peer(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 9, 0, number], 7340))
 }
 
-pub fn peer_message(sequence: u64, version: u64, news: PeerNews) -> PeerMessage {
+pub(crate) fn peer_message(sequence: u64, version: u64, news: PeerNews) -> PeerMessage {
     PeerMessage { node: "gateway-2".into(), incarnation: 5, sequence, version, news }
 }
 
 impl Kit {
     /// A gateway with a configuration, a store that answers, and `count` backend servers each.
-    pub fn new(count: u8) -> Self {
+    pub(crate) fn new(count: u8) -> Self {
         let mut kit = Self::bare();
         let engines = (1..=count).map(|number| listing(ENGINE, number));
         let plain = (1..=count).map(|number| listing(PLAIN, number + 100));
@@ -164,7 +164,7 @@
     }
 
     /// A gateway that knows nothing yet.
-    pub fn bare() -> Self {
+    pub(crate) fn bare() -> Self {
         Self {
             world: World::new(settings(), 1),
             now: Timestamp::from_micros(1_000_000),
@@ -174,19 +174,19 @@
         }
     }
 
-    pub fn advance(&mut self, by: Duration) {
+    pub(crate) fn advance(&mut self, by: Duration) {
         self.now = self.now.after(by);
     }
 
     /// Runs a tick; its effects are kept until the next one.
-    pub fn step(&mut self, events: Vec<Event>) -> Option<Timestamp> {
+    pub(crate) fn step(&mut self, events: Vec<Event>) -> Option<Timestamp> {
         let tick = tick(&mut self.world, self.now, &events);
         self.effects = tick.effects;
         tick.wake_at
     }
 
     /// Runs ticks when they are due, until `until`.
-    pub fn run_until(&mut self, until: Timestamp) {
+    pub(crate) fn run_until(&mut self, until: Timestamp) {
         let mut all = Vec::new();
         while let Some(wake_at) = self.step(Vec::new()).filter(|wake_at| *wake_at <= until) {
             all.append(&mut self.effects);
@@ -198,7 +198,7 @@
         self.effects = all;
     }
 
-    pub fn arrival(&mut self, path: &str, prompt_tokens: u64) -> Arrival {
+    pub(crate) fn arrival(&mut self, path: &str, prompt_tokens: u64) -> Arrival {
         self.arrived += 1;
         Arrival {
             caller: self.callers.insert(()),
@@ -214,7 +214,7 @@
     }
 
     /// Lets a request arrive; its effects are kept.
-    pub fn arrive(&mut self, path: &str, prompt_tokens: u64) -> CallerKey {
+    pub(crate) fn arrive(&mut self, path: &str, prompt_tokens: u64) -> CallerKey {
         let arrival = self.arrival(path, prompt_tokens);
         let caller = arrival.caller;
         self.step(vec![Event::Arrival(Box::new(arrival))]);
@@ -222,7 +222,7 @@
     }
 
     /// What was sent in the last tick.
-    pub fn sent(&self) -> Vec<Dispatch> {
+    pub(crate) fn sent(&self) -> Vec<Dispatch> {
         let sent = self.effects.iter().filter_map(|effect| match effect {
             Effect::Send { dispatch, .. } => Some((**dispatch).clone()),
             _ => None,
@@ -231,14 +231,14 @@
     }
 
     /// The one attempt that was sent in the last tick.
-    pub fn sent_one(&self) -> Dispatch {
+    pub(crate) fn sent_one(&self) -> Dispatch {
         let sent = self.sent();
         assert_eq!(sent.len(), 1, "one send in {:?}", self.effects);
         sent.into_iter().next().expect("one send")
     }
 
     /// Result codes of the refusals in the last tick.
-    pub fn refused(&self) -> Vec<ResultCode> {
+    pub(crate) fn refused(&self) -> Vec<ResultCode> {
         let refused = self.effects.iter().filter_map(|effect| match effect {
             Effect::Refuse { code, .. } => Some(*code),
             _ => None,
@@ -247,18 +247,18 @@
     }
 
     /// Arrives and is sent at once; returns the attempt.
-    pub fn send(&mut self, path: &str, prompt_tokens: u64) -> (CallerKey, Dispatch) {
+    pub(crate) fn send(&mut self, path: &str, prompt_tokens: u64) -> (CallerKey, Dispatch) {
         let caller = self.arrive(path, prompt_tokens);
         (caller, self.sent_one())
     }
 
     /// The first event of an attempt comes.
-    pub fn progress(&mut self, work: WorkKey) {
+    pub(crate) fn progress(&mut self, work: WorkKey) {
         self.step(vec![Event::AttemptProgress { work }]);
     }
 
     /// The messages to peers in the last tick.
-    pub fn told(&self) -> Vec<PeerMessage> {
+    pub(crate) fn told(&self) -> Vec<PeerMessage> {
         let told = self.effects.iter().filter_map(|effect| match effect {
             Effect::Tell { message, .. } => Some((**message).clone()),
             _ => None,
@@ -267,7 +267,7 @@
     }
 
     /// Ids of the backend servers in view, in order.
-    pub fn backend_servers(&self) -> Vec<CompactString> {
+    pub(crate) fn backend_servers(&self) -> Vec<CompactString> {
         let rows = self.world.backend_servers.rows.iter();
         let mut ids: Vec<_> = rows.map(|(_, row)| row.listing.id.clone()).collect();
         ids.sort();
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -37,9 +37,10 @@
     pub decisions: GatewaySettings,
 }
 
-/// Longest wait of a call to the feed unless it is set. Each call has a price; a connection that
-/// falls silent is noticed by the kernel's probes within three seconds.
-const FEED_WAIT: Duration = Duration::from_secs(12);
+/// Longest wait of a call to the feed unless it is set. A store that falls silent keeps a call
+/// until its wait is over, and a gateway has five seconds from the store's return to a listing
+/// that must be followed: three until it counts as in touch, and two for the listing.
+const FEED_WAIT: Duration = Duration::from_millis(3500);
 
 pub(crate) fn read(
     ini: &mut IniFile,
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -44,7 +44,7 @@
     let RoleSettings::Entry(entry) = settings.role else { unreachable!("an entry") };
     assert_eq!(entry.decisions.max_request_bytes, 32 << 20);
     assert_eq!(entry.operators.len(), 1);
-    assert_eq!(settings.platform.timeout, Duration::from_secs(2));
+    assert_eq!(entry.platform.timeout, Duration::from_secs(2));
 }
 
 #[rstest]
@@ -55,7 +55,7 @@
 #[case::size_too_small("[entry]", "[entry]\nmax_body_bytes = 1MiB", &["max_body_bytes", "at least max_request_bytes"])]
 #[case::missing_certificate("certificate = ca.pem", "certificate = no.pem", &["[tls] certificate", "no.pem", "file that exists"])]
 #[case::missing_key("vm = vm-1\n", "", &["[process] vm", "missing"])]
-#[case::wrong_role("role = entry", "role = leader", &["[process] role", "leader", "entry or side"])]
+#[case::wrong_role("role = entry", "role = leader", &["[process] role", "leader", "entry, side or gateway"])]
 #[case::wrong_address("callers_listen = 127.0.0.1:0", "callers_listen = here", &["callers_listen", "here", "IP number"])]
 #[case::wrong_digest("anna = 0000", "anna = x", &["[operators] anna", "64 hexadecimal digits"])]
 #[case::wrong_policy("[entry]", "[entry]\nrouting = random", &["routing", "random", "round_robin"])]
@@ -101,3 +101,37 @@
 fn parse_size_cases(#[case] text: &str, #[case] expected: Option<u64>) {
     assert_eq!(parse_size(text), expected);
 }
+
+const GATEWAY: &str = "[process]
+role = gateway
+vm = vm-1
+data_centre = graz-1
+traffic_threads = 1
+[gateway]
+clients_listen = 127.0.0.1:0
+ready_listen = 127.0.0.1:0
+peers_listen = 10.0.0.1:7340
+seeds = 10.0.0.1:8229,10.0.0.2:8229
+store = 127.0.0.1:9000
+retry_ratio = 0.2
+";
+
+#[test]
+fn load_gateway() {
+    let settings = load(GATEWAY).expect("no mistakes");
+    let RoleSettings::Gateway(gateway) = settings.role else { unreachable!("a gateway") };
+    let seeds: Vec<_> = gateway.seeds.iter().map(ToString::to_string).collect();
+    assert_eq!(seeds, ["10.0.0.1:7340", "10.0.0.2:7340"]);
+    assert!((gateway.decisions.retry_ratio - 0.2).abs() < f64::EPSILON);
+    assert_eq!(gateway.decisions.stop_limit, Duration::from_secs(8));
+}
+
+#[rstest]
+#[case::no_store("store = 127.0.0.1:9000", "", "[gateway] store: missing")]
+#[case::ratio("retry_ratio = 0.2", "retry_ratio = 2", "[gateway] retry_ratio")]
+#[case::seed("seeds = 10.0.0.1:8229,", "seeds = nowhere,", "[gateway] seeds")]
+#[case::unknown_key("retry_ratio", "retry_rate", "[gateway] retry_rate: unknown key")]
+fn load_gateway_mistake(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
+    let errors = load(&GATEWAY.replace(from, to)).expect_err("a mistake");
+    assert!(errors.to_string().contains(message), "{errors}");
+}
--- a/crates/snipespan_soak/src/clients.rs
+++ b/crates/snipespan_soak/src/clients.rs
@@ -13,7 +13,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use snipespan_platform_adapter::connection::Connection;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::checks::Kind;
@@ -39,28 +38,29 @@
     gateways: Vec<Address>,
     kept: Option<(usize, SocketAddr, Connection)>,
     sent: u64,
-    seen: mpsc::UnboundedSender<Seen>,
+    seen: Vec<Seen>,
 }
 
 impl Client {
     /// A client of all gateways.
-    pub fn new(
-        seed: u64,
-        name: usize,
-        gateways: Vec<Address>,
-        seen: mpsc::UnboundedSender<Seen>,
-    ) -> Self {
+    pub fn new(seed: u64, name: usize, gateways: Vec<Address>) -> Self {
         let rng = SmallRng::seed_from_u64(seed.wrapping_mul(1000) + name as u64);
-        Self { name, rng, gateways, kept: None, sent: 0, seen }
+        Self { name, rng, gateways, kept: None, sent: 0, seen: Vec::new() }
     }
 
-    /// Sends requests until `stop` turns true.
-    pub async fn run(mut self, stop: watch::Receiver<bool>) {
+    /// Sends requests until `stop` turns true; returns what was seen.
+    pub async fn run(mut self, stop: watch::Receiver<bool>) -> Vec<Seen> {
         while !*stop.borrow() {
             let pause = self.rng.random_range(0..MAX_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             self.send().await;
         }
+        self.seen
+    }
+
+    /// What was seen so far.
+    pub fn into_seen(self) -> Vec<Seen> {
+        self.seen
     }
 
     /// Sends one request; false when it was not answered with success.
@@ -88,8 +88,7 @@
         let body = String::from_utf8_lossy(&body).into_owned();
         let seen = Seen { id, kind, gateway, sent, ended, status, body, is_whole, has_second_key };
         let is_served = status == Some(200) && is_whole;
-        // The collector outlives all clients.
-        let _ = self.seen.send(seen);
+        self.seen.push(seen);
         is_served || (has_second_key && status == Some(401))
     }
 
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -10,7 +10,6 @@
 use snipespan_fakes::fault_proxy::FaultProxy;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
 use snipespan_fakes::users_platform::store::StoreFault;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -81,12 +80,11 @@
     }
     let mut trial = Trial { site, gateways, ways, history: History::default(), undos: Vec::new() };
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let (seen_tx, mut seen) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
     let mut clients = JoinSet::new();
     let addresses: Vec<_> = trial.gateways.iter().map(|g| g.address.subscribe()).collect();
     for name in 0..size.clients {
-        let client = Client::new(seed, name, addresses.clone(), seen_tx.clone());
+        let client = Client::new(seed, name, addresses.clone());
         clients.spawn(client.run(stopping.clone()));
     }
     let steps = plan::plan(seed, size);
@@ -100,17 +98,14 @@
     trial.heal().await?;
     tokio::time::sleep(RECOVERY).await;
     stop.send_replace(true);
-    while clients.join_next().await.is_some() {}
-    let mut last = Client::new(seed, size.clients, addresses, seen_tx);
+    trial.history.seen = clients.join_all().await.into_iter().flatten().collect();
+    let mut last = Client::new(seed, size.clients, addresses);
     for _ in 0..LAST_REQUESTS {
         if !last.send().await {
             trial.history.failed_after.push(last.last_id());
         }
     }
-    drop(last);
-    while let Ok(seen) = seen.try_recv() {
-        trial.history.seen.push(seen);
-    }
+    trial.history.seen.extend(last.into_seen());
     Ok(trial.finish(faults).await)
 }
 
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -337,10 +337,12 @@
 
     async fn end(&mut self, work: WorkKey, intake: &mut Intake) -> Taken {
         if intake.is_stream {
-            let is_whole = self.events.is_at_boundary();
-            if !is_whole || matches!(self.output, Output::Waiting(_)) {
+            // Only a client that has some events may find that there are no more.
+            let has_events = self.events.last().is_some();
+            if !self.events.is_at_boundary() || !has_events {
                 return self.fail(work, FailReason::Corrupt).await;
             }
+            self.open_stream(intake, self.cx.clock.now());
             if let Taken::Order(order) = self.deliver().await {
                 return Taken::Order(order);
             }
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -34,6 +34,9 @@
 const LISTINGS_PAUSE: Duration = Duration::from_millis(600);
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(3);
 
+/// Factor on the wait for changes of the gateways' entries, on which no promise hangs.
+const GATEWAYS_WAIT_FACTOR: u32 = 4;
+
 /// Pause between tries to write the own entry; peers also know each other from the seeds.
 const REGISTER_PAUSE: Duration = Duration::from_secs(2);
 
@@ -90,7 +93,10 @@
         let watcher = Watcher {
             table,
             store: Store::new(role.store),
-            feed_wait: role.feed_wait,
+            feed_wait: match table {
+                Table::Operator | Table::Listings => role.feed_wait,
+                Table::Gateways => role.feed_wait * GATEWAYS_WAIT_FACTOR,
+            },
             cx: Arc::clone(cx),
             own_address,
             gateways: Vec::new(),
--- a/crates/snipespand/tests/gateway/answers.rs
+++ b/crates/snipespand/tests/gateway/answers.rs
@@ -53,6 +53,17 @@
     assert_eq!(answer.body, (5..=6).map(event).collect::<String>());
 }
 
+#[tokio::test]
+async fn stream_of_which_the_client_has_all_events_is_whole_and_empty() {
+    let site = Site::start(1).await;
+    let gateway = site.gateway("gateway-1").await;
+    let fields = [("last-event-id", "6")];
+    let answer = gateway.call_with(Method::POST, "/stream/1", "request-1", &fields).await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, "");
+}
+
 #[rstest]
 #[case::unknown_path("/nowhere/", "Token key-1", 404)]
 #[case::unknown_key("/look/1", "Token key-9", 401)]
