Look for silent peers and set metrics at intervals, not with every step

Cause: each datagram of a peer is a step of the control thread, and each step went through all work of the peers and all metrics; on the grown sites a gateway takes some hundred of them a second.

Ruled out: an interval for the expiry of requests, whose deadlines are exact.

--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -31,6 +31,10 @@
 /// Interval between whole states; a third of the time after which a silent peer counts as gone.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which silent peers and unconfirmed work are looked for; a small part of the limits
+/// on both.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Work of a peer that it has not spoken of for this long has ended; two whole states were lost
 /// otherwise.
 const WORK_SILENCE_LIMIT: Duration = Duration::from_millis(2200);
@@ -51,8 +55,11 @@
             _ => {}
         }
     }
-    forget_silent(world, now, effects);
-    drop_unconfirmed(world, now);
+    if now >= world.peers_sweep_due {
+        world.peers_sweep_due = now.after(SWEEP_INTERVAL);
+        forget_silent(world, now, effects);
+        drop_unconfirmed(world, now);
+    }
     ask_for_newer(world, now, effects);
 }
 
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -120,6 +120,8 @@
     pub sequence: u64,
     /// When the peers are told all work again.
     pub whole_due: Timestamp,
+    /// When silent peers and unconfirmed work are looked for next.
+    pub peers_sweep_due: Timestamp,
     /// When a newer configuration was last asked of a peer.
     pub serving_asked: Option<Timestamp>,
     /// Repeats that may still be sent.
@@ -151,6 +153,7 @@
             changes: Vec::new(),
             sequence: 0,
             whole_due: Timestamp::ZERO,
+            peers_sweep_due: Timestamp::ZERO,
             serving_asked: None,
             retry_budgets: RetryBudgets::default(),
             counters: Counters::default(),
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -25,6 +25,7 @@
 use snipespan_core::gateway::serving::ClientLimits;
 use snipespan_core::gateway::settings::GatewaySettings;
 use snipespan_core::gateway::world::World;
+use snipespan_core::time::Timestamp;
 use snipespan_settings::daemon::DaemonSettings;
 use snipespan_settings::gateway::GatewayRole;
 use tokio::sync::mpsc;
@@ -117,6 +118,7 @@
         cx: Arc::clone(&cx),
         stopped: Some(stopped),
         runtime: tokio::runtime::Handle::current(),
+        metrics_due: Timestamp::ZERO,
     };
     control::start(clock, shell, inputs)?;
     let ready_at = ready::serve(role.ready_listen, Arc::clone(&cx)).await?;
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -33,6 +33,10 @@
 /// Orders that wait for one request's task; a task that lets more pile up is closed.
 pub(super) const MAX_ORDERS: usize = 16;
 
+/// Interval at which the metrics take over the counts of the decisions; they are fetched every
+/// few seconds.
+const METRICS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Times that a release is sent until it is confirmed; what is left ends by itself.
 const RELEASE_TRIES: u32 = 3;
 
@@ -69,6 +73,8 @@
     pub(super) cx: Arc<GatewayContext>,
     pub(super) stopped: Option<oneshot::Sender<()>>,
     pub(super) runtime: Handle,
+    /// When the counts of the decisions are brought up to date next.
+    pub(super) metrics_due: Timestamp,
 }
 
 impl Shell {
@@ -166,7 +172,10 @@
         for effect in tick.effects {
             self.carry_out(effect);
         }
-        self.cx.metrics.set(&self.world);
+        if now >= self.metrics_due {
+            self.metrics_due = now.after(METRICS_INTERVAL);
+            self.cx.metrics.set(&self.world);
+        }
         tick.wake_at
     }
 }
