--- a/crates/snipespan_demo/src/fleet.rs
+++ b/crates/snipespan_demo/src/fleet.rs
@@ -23,7 +23,7 @@
 use snipespan_fakes::platform::FakePlatform;
 use snipespan_platform::v1 as platform_v1;
 use snipespan_settings::daemon;
-use snipespand::daemon::Addresses;
+use snipespand::process::Addresses;
 use tempfile::TempDir;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
--- a/crates/snipespan_soak/src/args.rs
+++ b/crates/snipespan_soak/src/args.rs
@@ -12,7 +12,7 @@
         let arg = Arg::new(name).long(name).value_name("N").default_value(default);
         arg.value_parser(value_parser!(u64)).help(help)
     };
-    Command::new("snipespan-soak")
+    Command::new("snipespan_soak")
         .about("Runs gateways under random faults and checks what clients and replicas see")
         .arg(number("first", "1", "First seed"))
         .arg(number("seeds", "10", "How many seeds"))
--- a/crates/snipespan_soak/src/main.rs
+++ b/crates/snipespan_soak/src/main.rs
@@ -19,7 +19,7 @@
             ExitCode::FAILURE
         }
         Err(error) => {
-            eprintln!("snipespan-soak: {error:#}");
+            eprintln!("snipespan_soak: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/snipespand/src/daemon.rs
+++ b/crates/snipespand/src/daemon.rs
@@ -5,7 +5,6 @@
 use clap::ArgMatches;
 use eyre::Result;
 use eyre::eyre;
-use serde::Serialize;
 use snipespan_settings::daemon;
 use snipespan_settings::daemon::DaemonSettings;
 use snipespan_settings::daemon::RoleSettings;
@@ -20,37 +19,9 @@
 
 use crate::entry;
 use crate::gateway;
+use crate::process::Addresses;
 use crate::side;
 
-/// Where a process listens; printed as one line of JSON once it does.
-#[derive(Clone, Debug, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Addresses {
-    /// Addresses of an entry.
-    Entry {
-        /// For callers.
-        callers: String,
-        /// For operators.
-        operators: String,
-    },
-    /// Addresses of a side process.
-    Side {
-        /// For entries.
-        entries: String,
-        /// For liveness and readiness.
-        health: String,
-    },
-    /// Addresses of a gateway.
-    Gateway {
-        /// For clients.
-        clients: String,
-        /// For readiness.
-        ready: String,
-        /// For peers, and for those who read metrics.
-        peers: String,
-    },
-}
-
 /// Runs the daemon that the arguments describe until it is asked to stop.
 ///
 /// # Errors
@@ -132,11 +103,3 @@
     stop.closed().await;
     Ok(())
 }
-
-/// Waits until a planned stop is asked for.
-pub async fn stop_asked(mut stopping: watch::Receiver<bool>) {
-    let is_sender_gone = stopping.wait_for(|is_stopping| *is_stopping).await.is_err();
-    if is_sender_gone {
-        std::future::pending::<()>().await;
-    }
-}
--- a/crates/snipespand/src/entry.rs
+++ b/crates/snipespand/src/entry.rs
@@ -39,14 +39,14 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::daemon::Addresses;
-use crate::daemon::stop_asked;
 use crate::entry::configuration::ConfigurationKeeper;
 use crate::entry::report_writer::ReportWriter;
 use crate::entry::shell::Input;
 use crate::entry::shell::Shell;
 use crate::entry::sides::SideConnector;
 use crate::metrics::MetricsReporter;
+use crate::process::Addresses;
+use crate::process::stop_asked;
 use crate::quic;
 use crate::quic::wind_down;
 use crate::tls::Identity;
--- a/crates/snipespand/src/entry/callers.rs
+++ b/crates/snipespand/src/entry/callers.rs
@@ -29,7 +29,6 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
-use crate::daemon::stop_asked;
 use crate::entry::EntryContext;
 use crate::entry::request_task::Inbound;
 use crate::entry::request_task::RequestTask;
@@ -37,6 +36,7 @@
 use crate::entry::shell::Input;
 use crate::entry::shell::MAX_ORDERS;
 use crate::error_body;
+use crate::process::stop_asked;
 
 /// Serves callers until `closing` turns true; returns where.
 pub(super) async fn serve(
--- a/crates/snipespand/src/entry/operators.rs
+++ b/crates/snipespand/src/entry/operators.rs
@@ -43,11 +43,11 @@
 use tonic::transport::ServerTlsConfig;
 
 use crate::clock::Clock;
-use crate::daemon::stop_asked;
 use crate::entry::configuration::ConfigurationKeeper;
 use crate::entry::operators::convert::configuration;
 use crate::entry::shell::BackendServerView;
 use crate::entry::shell::Input;
+use crate::process::stop_asked;
 
 /// Longest change id, in bytes.
 const MAX_CHANGE_ID_BYTES: usize = 64;
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -35,13 +35,13 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::daemon::Addresses;
-use crate::daemon::stop_asked;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::PeerLink;
 use crate::gateway::peers::RawServing;
 use crate::gateway::shell::Input;
 use crate::gateway::shell::Shell;
+use crate::process::Addresses;
+use crate::process::stop_asked;
 
 /// Longest wait at the end of a planned stop for answers that are being written.
 const LAST_WRITES_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/snipespand/src/lib.rs
+++ b/crates/snipespand/src/lib.rs
@@ -8,6 +8,7 @@
 mod error_body;
 pub mod gateway;
 pub mod metrics;
+pub mod process;
 pub mod quic;
 pub mod side;
 pub mod tls;
--- a/crates/snipespand/src/side.rs
+++ b/crates/snipespand/src/side.rs
@@ -36,9 +36,9 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::daemon::Addresses;
-use crate::daemon::stop_asked;
 use crate::metrics::MetricsReporter;
+use crate::process::Addresses;
+use crate::process::stop_asked;
 use crate::quic;
 use crate::quic::wind_down;
 use crate::side::control_stream::Announcements;
