Keep long prompts back at twice the price of reading

Cause: with a price of 4 a second of backlog, prompts of 110,000 to 190,000 tokens were still sent behind others and answered late.

Change: PRICE_PER_BACKLOG 8 in place of 4.

--- a/crates/snipespan_core/src/gateway/systems/deferral.rs
+++ b/crates/snipespan_core/src/gateway/systems/deferral.rs
@@ -14,9 +14,9 @@
 use crate::time::Timestamp;
 
 /// Worth that a second of reading has to earn for each second of mean reading backlog of the
-/// engines. With the deployments' sheets, a backlog of half a second keeps prompts of 500,000
-/// tokens back, and one of 1.5 s those of 180,000.
-const PRICE_PER_BACKLOG: f64 = 4.0;
+/// engines. With the deployments' sheets, a backlog of a quarter of a second keeps prompts of 500,000
+/// tokens back, and one of 0.7 s those of 180,000.
+const PRICE_PER_BACKLOG: f64 = 8.0;
 
 /// Share of the worth that a request still earns once it is late, by the deployments' sheets.
 const LATE_WORTH: f64 = 0.25;
