--- a/crates/snipespan_core/src/gateway/systems/ending.rs
+++ b/crates/snipespan_core/src/gateway/systems/ending.rs
@@ -19,7 +19,7 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 /// Longest `Retry-After` as a share (1/n) of the time left; clients honour a third.
-const RETRY_AFTER_SHARE: u32 = 4;
+pub const RETRY_AFTER_SHARE: u32 = 4;
 
 /// Ends a request with a code of this gateway. One that may have run never ends as "not run".
 pub fn refuse(
--- a/crates/snipespan_core/tests/gateway/arrivals.rs
+++ b/crates/snipespan_core/tests/gateway/arrivals.rs
@@ -69,3 +69,19 @@
     assert!(kit.world.work.is_empty());
     assert!(kit.effects.iter().any(|effect| matches!(effect, Effect::Close { .. })));
 }
+
+#[test]
+fn gateway_without_configuration_asks_clients_to_wait_out_an_outage() {
+    let mut kit = Kit::bare();
+    kit.arrive("/draft/1", 5_000);
+    let waits: Vec<_> = kit
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Refuse { code: ResultCode::NotReady, retry_after, .. } => *retry_after,
+            _ => None,
+        })
+        .collect();
+    // A quarter of the ten seconds that the client has.
+    assert_eq!(waits, [Duration::from_millis(2500)]);
+}
