Move a prompt that spans engines when its first engine hangs

A silent attempt is only moved where another engine is better, and that was asked of each engine alone, none of which has the memory for such a prompt; so it was never moved.

Change: for a prompt in parts, the question is whether other engines could take it in parts.

Ruled out: lost releases (none in the logs); the deferral (the request was placed 0.01 s after it came).

Where no other engines have the memory, the request still waits for its client's time.

--- a/crates/snipespan_core/src/gateway/systems/expiry.rs
+++ b/crates/snipespan_core/src/gateway/systems/expiry.rs
@@ -7,11 +7,14 @@
 use crate::gateway::systems::attempts;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::routing;
+use crate::gateway::systems::splitting;
+use crate::gateway::systems::splitting::Memory;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Rank;
 use crate::gateway::tables::work::Work;
 use crate::gateway::world::World;
+use crate::keys::BackendServerKey;
 use crate::keys::RequestKey;
 use crate::keys::WorkKey;
 use crate::result_code::ResultCode;
@@ -89,6 +92,9 @@
     let Some(work) = world.work.get(key) else { return false };
     let Some(request) = attempts::request_of(world, key) else { return false };
     let Some(row) = world.requests.get(request) else { return false };
+    if row.span.is_some() {
+        return is_span_elsewhere(world, now, row, work.backend_server);
+    }
     let mut others = routing::usable(world, now, row);
     others.retain(|server| *server != work.backend_server);
     let engine = routing::engine_of(world, row);
@@ -100,6 +106,17 @@
     })
 }
 
+/// Whether engines other than `first` could take a prompt that no single one has the memory for.
+fn is_span_elsewhere(
+    world: &World,
+    now: Timestamp,
+    row: &Request,
+    first: BackendServerKey,
+) -> bool {
+    let Some(engine) = routing::engine_of(world, row) else { return false };
+    splitting::best(world, now, row, engine, Memory::InParts, Some(first)).is_some()
+}
+
 /// The open attempt of a request that another backend server could take over.
 fn repeatable_work<'a>(world: &'a World, row: &Request) -> Option<(WorkKey, &'a Work)> {
     let may_repeat = row.kind.is_idempotent() && row.runs + 1 < row.max_attempts;
--- a/crates/snipespan_core/src/gateway/systems/helpers.rs
+++ b/crates/snipespan_core/src/gateway/systems/helpers.rs
@@ -31,7 +31,7 @@
     if size.read_ms < LEAST_SPLIT_MS {
         return None;
     }
-    let split = splitting::best(world, now, request, engine, Memory::AtFirst)?;
+    let split = splitting::best(world, now, request, engine, Memory::AtFirst, None)?;
     if alone.is_some_and(|alone| alone.loss <= split.loss) {
         return None;
     }
--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -55,7 +55,7 @@
 pub fn begin(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
     let Some(row) = world.requests.get(key) else { return };
     let Some(engine) = routing::engine_of(world, row).copied() else { return };
-    let split = splitting::best(world, now, row, &engine, Memory::InParts);
+    let split = splitting::best(world, now, row, &engine, Memory::InParts, None);
     let Some(split) = split else {
         placing::hold(world, now, key, effects);
         return;
--- a/crates/snipespan_core/src/gateway/systems/splitting.rs
+++ b/crates/snipespan_core/src/gateway/systems/splitting.rs
@@ -63,16 +63,18 @@
     holds_whole: bool,
 }
 
-/// The split that loses least; `None` when too few engines have room.
+/// The split that loses least among engines other than `without`; `None` when too few have room.
 pub fn best(
     world: &World,
     now: Timestamp,
     request: &Request,
     engine: &EngineSpec,
     memory: Memory,
+    without: Option<BackendServerKey>,
 ) -> Option<Split> {
     let size = prediction::size_of(Some(engine), request);
-    let servers = routing::usable(world, now, request);
+    let mut servers = routing::usable(world, now, request);
+    servers.retain(|server| Some(*server) != without);
     let loads: Vec<_> = servers
         .iter()
         .filter_map(|server| {
--- a/crates/snipespan_core/tests/gateway/spans.rs
+++ b/crates/snipespan_core/tests/gateway/spans.rs
@@ -111,3 +111,20 @@
     kit.step(vec![Event::CallerGone { request: orders[0].0 }]);
     assert_eq!(released(&kit), orders.len());
 }
+
+#[test]
+fn span_whose_first_engine_hangs_is_moved() {
+    let mut kit = Kit::new(8);
+    kit.arrive("/draft/1", LONG);
+    let orders = reserved(&kit);
+    answer(&mut kit, &orders, OrderAnswer::Held);
+    let first = kit.sent_one();
+    kit.run_until(kit.now.after(Duration::from_secs(3)));
+    let moved: Vec<_> = reserved(&kit)
+        .into_iter()
+        .filter(|(_, _, reserve)| reserve.ticket != orders[0].2.ticket)
+        .collect();
+    assert!(!moved.is_empty(), "the memory stays set aside for a request that no engine runs");
+    assert!(moved.iter().all(|(_, _, reserve)| reserve.address != first.address));
+    assert!(released(&kit) >= orders.len());
+}
