Let four gateways follow the store's feeds and relay changes to the others

Change: systems/feeds.rs draws four followers by rendezvous hashing. They relay changes of the listings and report the version of their copy; the others call a feed only while no follower is current (1.5 s) or when they have missed a change. Datagrams are received several at a time, 3 ms apart. Ruled out: relaying configurations, which fill the link of a small gateway; reporting ends of work late, which a test forbids.

--- a/crates/snipespan_core/src/gateway/effect.rs
+++ b/crates/snipespan_core/src/gateway/effect.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::decision::Decision;
 use crate::gateway::event::PeerMessage;
+use crate::gateway::event::StoreVersion;
 use crate::gateway::serving::ClientLimits;
 use crate::gateway::serving::ServingVersion;
 use crate::keys::BackendServerKey;
@@ -86,6 +87,8 @@
         /// The version that it has.
         version: ServingVersion,
     },
+    /// Follow the store's feeds differently from now on.
+    FollowFeeds(FeedPlan),
     /// Apply changed bounds on what clients may send.
     SetLimits(ClientLimits),
     /// Publish whether the process is ready for clients.
@@ -100,6 +103,29 @@
     LogDecision(Box<Decision>),
 }
 
+/// Whether a gateway calls one of the store's feeds itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FeedMode {
+    /// It calls the feed, with the longest wait that the settings allow.
+    #[default]
+    Alone,
+    /// It calls the feed with a short wait, so that a store that turns silent is noticed soon.
+    ForPeers,
+    /// It does not call the feed; its peers report what changes.
+    Relayed,
+}
+
+/// How a gateway follows the store's feeds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FeedPlan {
+    /// The feed of the operator's table.
+    pub operator: FeedMode,
+    /// The feed of the backend servers' listings.
+    pub listings: FeedMode,
+    /// Version from which the feed of the listings continues.
+    pub listings_version: StoreVersion,
+}
+
 /// An attempt to be sent to a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Dispatch {
--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -64,14 +65,15 @@
         is_from_store: bool,
     },
     /// The complete list of backend servers was read from the store.
-    ListingsRead(Vec<Listing>),
-    /// A listing was added or changed.
-    ListingChanged(Listing),
-    /// A listing was removed.
-    ListingRemoved {
-        /// Id of the listing.
-        id: CompactString,
+    ListingsRead {
+        /// Version of the store at which it was read.
+        version: StoreVersion,
+        /// The list.
+        listings: Vec<Listing>,
     },
+    /// The store's feed of the backend servers' listings answered; without changes if there were
+    /// none within the wait.
+    ListingsChanged(ListingsUpdate),
     /// A call for the listings failed or timed out; sent for the first failure of a series.
     StoreLost,
     /// The store answered a call for the listings; sent for each answer.
@@ -146,7 +148,7 @@
 }
 
 /// A backend server's entry in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Id under which the store lists the backend server; a restart may keep it and has another
     /// start time.
@@ -167,6 +169,46 @@
     pub is_draining: bool,
 }
 
+/// Version of the platform's store, which rises with each transaction.
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct StoreVersion(pub u64);
+
+/// A change of one backend server's listing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListingChange {
+    /// The listing was added or changed.
+    Listed(Listing),
+    /// The listing was removed, or its row is no longer a valid listing.
+    Removed {
+        /// Id of the listing.
+        id: CompactString,
+    },
+}
+
+/// All changes of the listings between two versions of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListingsUpdate {
+    /// Version after which the changes begin.
+    pub after: StoreVersion,
+    /// Version up to which they are complete.
+    pub version: StoreVersion,
+    /// The changes, in order.
+    pub changes: Vec<ListingChange>,
+}
+
+/// How current a gateway's copy of the listings is, as it reports to its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedReport {
+    /// Version of the store up to which its copy is complete.
+    pub version: StoreVersion,
+    /// Version of the newest change in its copy.
+    pub last_change: StoreVersion,
+    /// Time since the store's feed last answered it, in ms.
+    pub age_ms: u32,
+}
+
 /// A backend server's answer to a reservation request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReservationAnswer {
@@ -189,6 +231,8 @@
     pub sequence: u64,
     /// Version of the serving configuration in force at the sender.
     pub version: u64,
+    /// The sender's copy of the listings, if it follows the store's feeds for its peers.
+    pub feed: Option<FeedReport>,
     /// Content of the message.
     pub update: PeerUpdate,
 }
@@ -200,6 +244,8 @@
     Changes(Vec<WorkChange>),
     /// Snapshot of all open work of the sender.
     Snapshot(Vec<WorkReport>),
+    /// Changes of the listings that the sender received from the store's feed.
+    Listings(ListingsUpdate),
     /// The sender stops and has no more work.
     Leaving,
 }
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -5,6 +5,7 @@
 pub mod deferral;
 pub mod ending;
 pub mod expiry;
+pub mod feeds;
 pub mod helpers;
 pub mod membership;
 pub mod peers;
--- a/crates/snipespan_core/src/gateway/systems/membership.rs
+++ b/crates/snipespan_core/src/gateway/systems/membership.rs
@@ -6,6 +6,10 @@
 use crate::gateway::effect::Effect;
 use crate::gateway::event::Event;
 use crate::gateway::event::Listing;
+use crate::gateway::event::ListingChange;
+use crate::gateway::event::ListingsUpdate;
+use crate::gateway::event::PeerUpdate;
+use crate::gateway::systems::feeds;
 use crate::gateway::tables::backend_servers::Availability;
 use crate::gateway::tables::backend_servers::BackendServer;
 use crate::gateway::world::World;
@@ -25,11 +29,21 @@
 ) -> Option<Timestamp> {
     for event in events {
         match event {
-            Event::ListingsRead(listings) => apply_listings(world, now, listings, effects),
-            Event::ListingChanged(listing) => apply_listing(world, now, listing, effects),
-            Event::ListingRemoved { id } => {
-                if let Some(key) = world.backend_servers.find(id) {
-                    lapse_or_remove(world, now, key, effects);
+            Event::ListingsRead { version, listings } => {
+                if feeds::record_read(world, now, *version) {
+                    apply_listings(world, now, listings, effects);
+                }
+            }
+            Event::ListingsChanged(update) => {
+                if feeds::record_feed_answer(world, now, update) {
+                    apply_update(world, now, update, effects);
+                }
+            }
+            Event::PeerMessageReceived { message, .. } => {
+                if let PeerUpdate::Listings(update) = &message.update
+                    && feeds::record_relayed(world, update)
+                {
+                    apply_update(world, now, update, effects);
                 }
             }
             _ => {}
@@ -40,6 +54,24 @@
     due
 }
 
+fn apply_update(
+    world: &mut World,
+    now: Timestamp,
+    update: &ListingsUpdate,
+    effects: &mut Vec<Effect>,
+) {
+    for change in &update.changes {
+        match change {
+            ListingChange::Listed(listing) => apply_listing(world, now, listing, effects),
+            ListingChange::Removed { id } => {
+                if let Some(key) = world.backend_servers.find(id) {
+                    lapse_or_remove(world, now, key, effects);
+                }
+            }
+        }
+    }
+}
+
 fn apply_listings(
     world: &mut World,
     now: Timestamp,
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -17,6 +17,7 @@
 use crate::gateway::event::WorkReport;
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::serving::ServingVersion;
+use crate::gateway::systems::feeds;
 use crate::gateway::tables::peers::Peer;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Work;
@@ -48,11 +49,14 @@
 /// link fragments it.
 const WORK_PER_MESSAGE: usize = 18;
 
+/// Maximum number of changed listings in one datagram, which keeps it below 1,400 bytes.
+const LISTINGS_PER_MESSAGE: usize = 9;
+
 /// Applies messages of peers, and expires peers and work that are no longer reported.
 pub fn receive(world: &mut World, now: Timestamp, events: &[Event], effects: &mut Vec<Effect>) {
     for event in events {
         match event {
-            Event::PeersRead(addresses) => apply_peer_list(world, now, addresses),
+            Event::PeersRead(addresses) => apply_peer_list(world, addresses),
             Event::PeerMessageReceived { from, message } => {
                 apply_message(world, now, *from, message, effects)
             }
@@ -67,7 +71,7 @@
     fetch_newer_serving(world, now, effects);
 }
 
-fn apply_peer_list(world: &mut World, now: Timestamp, addresses: &[SocketAddr]) {
+fn apply_peer_list(world: &mut World, addresses: &[SocketAddr]) {
     for (_, peer) in world.peers.iter_mut() {
         peer.is_listed = addresses.contains(&peer.address);
     }
@@ -78,7 +82,7 @@
                 // While the table is full, a new peer is skipped; this gateway then does not count
                 // its work, like that of a client that sends to backend servers directly.
                 let _ = insert_peer(world, *address, true);
-                world.snapshot_due = now;
+                world.new_peers.push(*address);
             }
         }
     }
@@ -92,10 +96,12 @@
     let peer = Peer {
         address,
         node: None,
+        rank: u64::MAX,
         incarnation: 0,
         sequence: 0,
         last_message: None,
         version: ServingVersion::default(),
+        feed: None,
         is_listed,
     };
     world.peers.insert(peer).ok()
@@ -121,14 +127,18 @@
         return;
     }
     let is_new = !peer.is_alive(now) || message.incarnation > peer.incarnation;
-    peer.node = Some(message.node.clone());
+    if peer.node.as_ref() != Some(&message.node) {
+        peer.node = Some(message.node.clone());
+        peer.rank = feeds::rank_of(&message.node);
+    }
     peer.incarnation = message.incarnation;
     peer.sequence = message.sequence;
     peer.version = message.serving_version();
+    peer.feed = message.feed.map(|report| (report, now));
     peer.last_message = Some(now);
     if is_new {
         remove_peer_work(world, now, key);
-        world.snapshot_due = now;
+        world.new_peers.push(from);
         log_peer_change(world, key, true, 0, effects);
     }
     match &message.update {
@@ -136,11 +146,14 @@
             changes.iter().for_each(|change| apply_change(world, now, key, change));
         }
         PeerUpdate::Snapshot(reports) => apply_snapshot(world, now, key, reports),
+        // Applied by the system that keeps the backend servers.
+        PeerUpdate::Listings(_) => {}
         PeerUpdate::Leaving => {
             let work = remove_peer_work(world, now, key);
             log_peer_change(world, key, false, work, effects);
             if let Some(peer) = world.peers.get_mut(key) {
                 peer.last_message = None;
+                peer.feed = None;
             }
         }
     }
@@ -256,6 +269,7 @@
         log_peer_change(world, key, false, work, effects);
         let Some(peer) = world.peers.get_mut(key) else { continue };
         peer.last_message = None;
+        peer.feed = None;
         if !peer.is_listed {
             world.peers.remove(key);
         }
@@ -282,36 +296,72 @@
     effects.push(Effect::FetchServing { from, version });
 }
 
-/// Notifies the peers of changes; returns when the next full snapshot is due.
+/// Notifies the peers of changes; returns when the next message is due without one.
 pub fn notify(world: &mut World, now: Timestamp, effects: &mut Vec<Effect>) -> Timestamp {
-    let to: Vec<_> = world.peers.iter().map(|(_, peer)| peer.address).collect();
     let mut changes = std::mem::take(&mut world.pending_changes);
     if matches!(world.process.state(), State::Stopped {}) {
-        send_update(world, &to, PeerUpdate::Leaving, effects);
+        send_update(world, now, PeerUpdate::Leaving, effects);
         return now.after(SNAPSHOT_INTERVAL);
     }
+    for update in std::mem::take(&mut world.listings.unrelayed) {
+        // A peer that misses changes calls the feed itself once a report names them.
+        if update.changes.len() <= LISTINGS_PER_MESSAGE {
+            send_update(world, now, PeerUpdate::Listings(update), effects);
+        }
+    }
+    let new_peers = std::mem::take(&mut world.new_peers);
+    let is_report_due = feeds::take_report_due(world, now);
     if now >= world.snapshot_due {
         world.snapshot_due = now.after(SNAPSHOT_INTERVAL);
         let own_work_reports = own_work_reports(world, now);
         if own_work_reports.len() <= WORK_PER_MESSAGE {
-            send_update(world, &to, PeerUpdate::Snapshot(own_work_reports), effects);
-            return world.snapshot_due;
+            send_update(world, now, PeerUpdate::Snapshot(own_work_reports), effects);
+            return world.snapshot_due.or_sooner(feeds::next_report(world));
         }
         // A longer snapshot is sent as changes; ended work, which it no longer names, expires at
         // the peers.
         changes.extend(own_work_reports.into_iter().map(WorkChange::Started));
+    } else if !new_peers.is_empty() {
+        send_snapshot_to(world, now, new_peers, effects);
+    }
+    if changes.is_empty() && is_report_due {
+        send_update(world, now, PeerUpdate::Changes(Vec::new()), effects);
     }
     while !changes.is_empty() {
         let rest = changes.split_off(changes.len().min(WORK_PER_MESSAGE));
-        send_update(world, &to, PeerUpdate::Changes(changes), effects);
+        send_update(world, now, PeerUpdate::Changes(changes), effects);
         changes = rest;
     }
-    world.snapshot_due
+    world.snapshot_due.or_sooner(feeds::next_report(world))
 }
 
-fn send_update(
+/// Sends a snapshot to gateways that were just found; the others have the changes.
+fn send_snapshot_to(
     world: &mut World,
-    to: &[SocketAddr],
+    now: Timestamp,
+    new_peers: Vec<SocketAddr>,
+    effects: &mut Vec<Effect>,
+) {
+    let reports = own_work_reports(world, now);
+    if reports.len() <= WORK_PER_MESSAGE {
+        send_to(world, now, new_peers, PeerUpdate::Snapshot(reports), effects);
+        return;
+    }
+    for part in reports.chunks(WORK_PER_MESSAGE) {
+        let changes = part.iter().cloned().map(WorkChange::Started).collect();
+        send_to(world, now, new_peers.clone(), PeerUpdate::Changes(changes), effects);
+    }
+}
+
+fn send_update(world: &mut World, now: Timestamp, update: PeerUpdate, effects: &mut Vec<Effect>) {
+    let to = world.peers.iter().map(|(_, peer)| peer.address).collect();
+    send_to(world, now, to, update, effects);
+}
+
+fn send_to(
+    world: &mut World,
+    now: Timestamp,
+    to: Vec<SocketAddr>,
     update: PeerUpdate,
     effects: &mut Vec<Effect>,
 ) {
@@ -324,9 +374,10 @@
         incarnation: world.incarnation,
         sequence: world.sequence,
         version: world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default().0,
+        feed: feeds::own_report(world, now),
         update,
     };
-    effects.push(Effect::NotifyPeers { to: to.to_vec(), message: Box::new(message) });
+    effects.push(Effect::NotifyPeers { to, message: Box::new(message) });
 }
 
 fn own_work_reports(world: &World, now: Timestamp) -> Vec<WorkReport> {
--- a/crates/snipespan_core/src/gateway/tables/peers.rs
+++ b/crates/snipespan_core/src/gateway/tables/peers.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use crate::gateway::event::FeedReport;
 use crate::gateway::serving::ServingVersion;
 use crate::keys::PeerKey;
 use crate::table::Entity;
@@ -24,6 +25,8 @@
     pub address: SocketAddr,
     /// Name of the peer; `None` before its first message.
     pub node: Option<CompactString>,
+    /// Its rank among the gateways, by its name; the lowest ranks follow the store's feeds.
+    pub rank: u64,
     /// Incarnation of its last message.
     pub incarnation: u64,
     /// Newest sequence number received from this incarnation.
@@ -32,6 +35,9 @@
     pub last_message: Option<Timestamp>,
     /// Version of the serving configuration in force at the peer.
     pub version: ServingVersion,
+    /// Its last report on its copy of the listings, and when it arrived; `None` if the peer does
+    /// not follow the store's feeds for others.
+    pub feed: Option<(FeedReport, Timestamp)>,
     /// Whether the list of gateways that was read last contains it.
     pub is_listed: bool,
 }
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -5,6 +5,7 @@
 use crate::gateway::systems::arrivals;
 use crate::gateway::systems::attempts;
 use crate::gateway::systems::expiry;
+use crate::gateway::systems::feeds;
 use crate::gateway::systems::membership;
 use crate::gateway::systems::peers;
 use crate::gateway::systems::placing;
@@ -29,6 +30,7 @@
     let list_at = membership::run(world, now, events, &mut effects);
     serving::run(world, now, events, &mut effects);
     peers::receive(world, now, events, &mut effects);
+    let follow_at = feeds::run(world, now, &mut effects);
     arrivals::run(world, now, events, &mut effects);
     attempts::run(world, now, events, &mut effects);
     let expire_at = expiry::run(world, now, &mut effects);
@@ -36,7 +38,7 @@
     let span_at = spans::run(world, now, events, &mut effects);
     let stop_at = process::run(world, now, events, &mut effects);
     let notify_at = peers::notify(world, now, &mut effects);
-    let due = [list_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
+    let due = [list_at, follow_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
     let wake_at = due.into_iter().flatten().min();
     Tick { effects, wake_at }
 }
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -9,8 +10,12 @@
 use statig::blocking::IntoStateMachineExt;
 use statig::blocking::StateMachine;
 
+use crate::gateway::effect::FeedPlan;
+use crate::gateway::event::ListingsUpdate;
+use crate::gateway::event::StoreVersion;
 use crate::gateway::event::WorkChange;
 use crate::gateway::serving::ServingConfiguration;
+use crate::gateway::serving::ServingVersion;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::tables::backend_servers::BackendServers;
 use crate::gateway::tables::peers::MAX_PEERS;
@@ -47,6 +52,25 @@
     pub has_listings: bool,
 }
 
+/// This gateway's copy of the backend servers' listings.
+#[derive(Clone, Debug, Default)]
+pub struct ListingsCopy {
+    /// Version of the store up to which the copy is complete; 0 before it was first read.
+    pub version: StoreVersion,
+    /// Version of the newest change in the copy.
+    pub last_change: StoreVersion,
+    /// When the store's feed last answered this gateway itself.
+    pub answered: Option<Timestamp>,
+    /// Changes from the feed that the peers have not been notified of.
+    pub unrelayed: Vec<ListingsUpdate>,
+    /// Version of the serving configuration that the peers were last notified of.
+    pub reported_serving: ServingVersion,
+    /// When this gateway next reports its copy to the peers, if it follows for them.
+    pub report_due: Timestamp,
+    /// How the feeds are followed.
+    pub plan: FeedPlan,
+}
+
 /// Progress of a planned stop.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StopProgress {
@@ -102,6 +126,8 @@
     pub serving: Option<ServingConfiguration>,
     /// State of the connection to the store.
     pub store: StoreLink,
+    /// The copy of the listings, and how it is kept current.
+    pub listings: ListingsCopy,
     /// Backend servers.
     pub backend_servers: BackendServers,
     /// Open work at the backend servers, of all gateways.
@@ -116,6 +142,8 @@
     pub placement_queue: BTreeSet<(Timestamp, RequestKey)>,
     /// Other gateways.
     pub peers: Table<Peer>,
+    /// Addresses of gateways that were just found and need a snapshot of this gateway's work.
+    pub new_peers: Vec<SocketAddr>,
     /// Changes of own work that the peers have not been notified of.
     pub pending_changes: Vec<WorkChange>,
     /// Sequence number of the last message to peers.
@@ -147,6 +175,7 @@
             stop: StopProgress::default(),
             serving: None,
             store: StoreLink::default(),
+            listings: ListingsCopy::default(),
             backend_servers: BackendServers::default(),
             work: Table::new(MAX_WORK),
             peer_work: BTreeMap::new(),
@@ -154,6 +183,7 @@
             deadlines: BTreeSet::new(),
             placement_queue: BTreeSet::new(),
             peers: Table::new(MAX_PEERS),
+            new_peers: Vec::new(),
             pending_changes: Vec::new(),
             sequence: 0,
             snapshot_due: Timestamp::ZERO,
--- a/crates/snipespan_core/src/time.rs
+++ b/crates/snipespan_core/src/time.rs
@@ -48,6 +48,11 @@
         Self(self.0.saturating_add(duration.as_micros() as u64))
     }
 
+    /// Returns the timestamp `duration` earlier, saturating at the start of the process.
+    pub const fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+
     /// Returns the earlier of `self` and `due`, or `self` if `due` is `None`.
     pub fn or_sooner(self, due: Option<Self>) -> Self {
         due.map_or(self, |due| due.min(self))
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -12,8 +12,11 @@
 use snipespan_core::gateway::event::Arrival;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
+use snipespan_core::gateway::event::ListingChange;
+use snipespan_core::gateway::event::ListingsUpdate;
 use snipespan_core::gateway::event::PeerMessage;
 use snipespan_core::gateway::event::PeerUpdate;
+use snipespan_core::gateway::event::StoreVersion;
 use snipespan_core::gateway::serving::Account;
 use snipespan_core::gateway::serving::AccountIndex;
 use snipespan_core::gateway::serving::ClientLimits;
@@ -156,7 +159,7 @@
 }
 
 pub(crate) fn peer_message(sequence: u64, version: u64, update: PeerUpdate) -> PeerMessage {
-    PeerMessage { node: "gateway-2".into(), incarnation: 5, sequence, version, update }
+    PeerMessage { node: "gateway-2".into(), incarnation: 5, sequence, version, feed: None, update }
 }
 
 impl Kit {
@@ -171,7 +174,7 @@
         kit.step(vec![
             Event::StoreAnswered,
             Event::ServingReceived { serving, is_from_store: true },
-            Event::ListingsRead(listings),
+            Event::ListingsRead { version: StoreVersion(1), listings },
         ]);
         // The store has been reachable long enough that a removed listing counts as gone.
         kit.advance(Duration::from_secs(5));
@@ -240,6 +243,28 @@
         caller
     }
 
+    /// Returns the event by which the store's feed delivers a changed listing.
+    pub(crate) fn listing_changed(&self, listing: Listing) -> Event {
+        self.feed_change(ListingChange::Listed(listing))
+    }
+
+    /// Returns the event by which the store's feed delivers the removal of a listing.
+    pub(crate) fn listing_removed(&self, service: &str, number: u8) -> Event {
+        self.feed_change(ListingChange::Removed { id: listing(service, number).id })
+    }
+
+    fn feed_change(&self, change: ListingChange) -> Event {
+        let after = self.world.listings.version;
+        let version = StoreVersion(after.0 + 1);
+        Event::ListingsChanged(ListingsUpdate { after, version, changes: vec![change] })
+    }
+
+    /// Returns the event by which the complete list is read from the store.
+    pub(crate) fn listings_read(&self, listings: Vec<Listing>) -> Event {
+        let version = StoreVersion(self.world.listings.version.0 + 1);
+        Event::ListingsRead { version, listings }
+    }
+
     /// Returns the attempts that were sent in the last tick.
     pub(crate) fn sent(&self) -> Vec<Dispatch> {
         let sent = self.effects.iter().filter_map(|effect| match effect {
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod deferral;
 mod engine;
+mod feeds;
 mod kit;
 mod membership;
 mod peers;
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -64,7 +64,7 @@
 #[test]
 fn without_backend_servers_a_request_is_refused_in_time() {
     let mut kit = Kit::new(1);
-    kit.step(vec![Event::ListingRemoved { id: kit::listing(ENGINE, 1).id }]);
+    kit.step(vec![kit.listing_removed(ENGINE, 1)]);
     kit.arrive("/draft/1", 5_000);
     assert!(kit.refused().is_empty());
     kit.run_until(kit.now.after(Duration::from_secs(4)));
@@ -75,10 +75,10 @@
 #[test]
 fn waiting_request_is_sent_when_a_backend_server_is_listed() {
     let mut kit = Kit::new(1);
-    kit.step(vec![Event::ListingRemoved { id: kit::listing(ENGINE, 1).id }]);
+    kit.step(vec![kit.listing_removed(ENGINE, 1)]);
     kit.arrive("/draft/1", 5_000);
     kit.advance(Duration::from_millis(200));
-    kit.step(vec![Event::ListingChanged(kit::listing(ENGINE, 4))]);
+    kit.step(vec![kit.listing_changed(kit::listing(ENGINE, 4))]);
     assert_eq!(kit.sent().len(), 1);
 }
 
--- a/crates/snipespan_core/tests/gateway/process.rs
+++ b/crates/snipespan_core/tests/gateway/process.rs
@@ -26,7 +26,7 @@
     let serving = Box::new(kit::serving(1));
     kit.step(vec![Event::ServingReceived { serving, is_from_store: true }]);
     assert_eq!(readiness(&kit), None);
-    kit.step(vec![Event::ListingsRead(Vec::new())]);
+    kit.step(vec![kit.listings_read(Vec::new())]);
     assert_eq!(readiness(&kit), Some(true));
 }
 
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -19,6 +19,7 @@
 use eyre::Result;
 use rand::RngExt;
 use slotmap::SlotMap;
+use snipespan_core::gateway::effect::FeedPlan;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::serving::ClientLimits;
 use snipespan_core::gateway::settings::GatewaySettings;
@@ -94,6 +95,7 @@
     let (ready_tx, readiness) = watch::channel(false);
     let (limits_tx, limits_rx) = watch::channel(INITIAL_LIMITS);
     let (connection_policy_tx, connection_policy_rx) = watch::channel(ConnectionPolicy::KeepAlive);
+    let (feeds_tx, feeds_rx) = watch::channel(FeedPlan::default());
     let (encoded_serving, _) = watch::channel(EncodedServing::default());
     let (stopped_tx, stopped_rx) = oneshot::channel();
     let metrics = Arc::new(GatewayMetrics::new()?);
@@ -118,6 +120,7 @@
         ready_tx,
         limits_tx,
         connection_policy_tx,
+        feeds_tx,
         link: link.sender(),
         cx: Arc::clone(&cx),
         stopped_tx: Some(stopped_tx),
@@ -129,7 +132,7 @@
     let clients = clients::serve(role.clients_listen, Arc::clone(&cx)).await?;
     let peers = link.address();
     link.start(role);
-    store_watch::start(role, &cx, settings.vm.0.clone(), peers);
+    store_watch::start(role, &feeds_rx, &cx, &settings.vm.0, peers);
     reload::start(settings.path.clone(), control.clone())?;
     tokio::spawn(forward_stop(control, stopping));
     log::info!(
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -30,6 +30,10 @@
 /// Size of the receive buffer for a datagram in bytes; those that gateways send are far smaller.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Pause after the datagrams that have arrived, so that one wake-up receives several while hundreds
+/// of gateways send; a few times the delay between data centres of a region.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(3);
+
 /// Maximum time to connect to a peer, and maximum time for its answer, which it has in memory.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -107,26 +111,43 @@
 async fn receive_datagrams(datagrams: UdpSocket, cx: Arc<GatewayContext>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let (length, from) = match datagrams.recv_from(&mut buf).await {
-            Ok(received) => received,
+        let received = match datagrams.recv_from(&mut buf).await {
+            Ok(received) => Some(received),
             Err(e) => {
-                // The peer of an earlier datagram was not listening; the socket itself is usable.
-                log::debug!("could not receive a datagram from a peer: {e}");
-                continue;
+                log_receive_error(&e);
+                None
             }
         };
-        match postcard::from_bytes::<PeerMessage>(&buf[..length]) {
-            Ok(message) => {
-                let event = Event::PeerMessageReceived { from, message };
-                if cx.control.send(Input::Event(event)).await.is_err() {
-                    return;
+        let mut next = received;
+        while let Some((length, from)) = next {
+            match postcard::from_bytes::<PeerMessage>(&buf[..length]) {
+                Ok(message) => {
+                    let event = Event::PeerMessageReceived { from, message };
+                    if cx.control.send(Input::Event(event)).await.is_err() {
+                        return;
+                    }
                 }
+                Err(e) => log::warn!(peer:% = from; "could not decode a datagram from a peer: {e}"),
             }
-            Err(e) => log::warn!(peer:% = from; "could not decode a datagram from a peer: {e}"),
+            next = match datagrams.try_recv_from(&mut buf) {
+                Ok(received) => Some(received),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => None,
+                Err(e) => {
+                    log_receive_error(&e);
+                    None
+                }
+            };
         }
+        tokio::time::sleep(RECEIVE_PAUSE).await;
     }
 }
 
+/// Logs that no datagram could be received. The peer of an earlier datagram was not listening; the
+/// socket itself is usable.
+fn log_receive_error(e: &std::io::Error) {
+    log::debug!("could not receive a datagram from a peer: {e}");
+}
+
 /// Sends datagrams to peers without blocking.
 #[derive(Debug)]
 pub(super) struct PeerSender {
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 use snipespan_core::gateway::effect::Dispatch;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::effect::FeedPlan;
 use snipespan_core::gateway::effect::ReservationRequest;
 use snipespan_core::gateway::event::Arrival;
 use snipespan_core::gateway::event::Event;
@@ -75,6 +76,7 @@
     pub(super) ready_tx: watch::Sender<bool>,
     pub(super) limits_tx: watch::Sender<ClientLimits>,
     pub(super) connection_policy_tx: watch::Sender<ConnectionPolicy>,
+    pub(super) feeds_tx: watch::Sender<FeedPlan>,
     pub(super) link: PeerSender,
     pub(super) cx: Arc<GatewayContext>,
     pub(super) stopped_tx: Option<oneshot::Sender<()>>,
@@ -125,6 +127,13 @@
             Effect::FetchServing { from, version } => {
                 self.runtime.spawn(peers::fetch_serving(from, version, Arc::clone(&self.cx)));
             }
+            Effect::FollowFeeds(plan) => {
+                log::info!(
+                    operator:? = plan.operator, listings:? = plan.listings,
+                    version = plan.listings_version.0; "following of the store's feeds changed"
+                );
+                self.feeds_tx.send_replace(plan);
+            }
             Effect::SetLimits(limits) => drop(self.limits_tx.send_replace(limits)),
             Effect::SetReady(is_ready) => {
                 log::info!(is_ready; "readiness changed");
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -6,8 +6,13 @@
 
 use compact_str::CompactString;
 use rand::RngExt;
+use snipespan_core::gateway::effect::FeedMode;
+use snipespan_core::gateway::effect::FeedPlan;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
+use snipespan_core::gateway::event::ListingChange;
+use snipespan_core::gateway::event::ListingsUpdate;
+use snipespan_core::gateway::event::StoreVersion as EventVersion;
 use snipespan_platform_adapter::error::CallError;
 use snipespan_platform_adapter::listing;
 use snipespan_platform_adapter::paths::CONFIGURATION_KEY;
@@ -17,7 +22,10 @@
 use snipespan_platform_adapter::store::FeedUpdate;
 use snipespan_platform_adapter::store::Row;
 use snipespan_platform_adapter::store::StoreClient;
+use snipespan_platform_adapter::store::StoreVersion;
+use snipespan_platform_adapter::store::VersionedRows;
 use snipespan_settings::gateway::GatewayRole;
+use tokio::sync::watch;
 
 use crate::gateway::GatewayContext;
 use crate::gateway::peers;
@@ -40,14 +48,15 @@
 
 /// Pause after a change of the gateways' listings before the next call for changes, so that one
 /// call returns several changes of a series; there is no time limit for them.
-const GATEWAYS_PAUSE: Duration = Duration::from_secs(3);
+const GATEWAYS_PAUSE: Duration = Duration::from_secs(8);
 
 /// Factor on the maximum wait for changes of the gateways' listings, for which there is no time
 /// limit.
 const GATEWAYS_WAIT_FACTOR: u32 = 4;
 
-/// Pause before writing this gateway's listing is retried; peers also find each other by the seeds.
-const REGISTER_RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum wait of one call for changes while peers rely on this gateway. A store that no longer
+/// answers this gateway is noticed within this time and the time for an answer.
+const FOLLOWER_WAIT: Duration = Duration::from_millis(800);
 
 /// A table of the store that a gateway follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,7 +94,10 @@
     store: StoreClient,
     /// Maximum time that one call for changes waits for a change.
     feed_wait: Duration,
+    /// How the control thread wants the feeds to be followed.
+    plan: watch::Receiver<FeedPlan>,
     cx: Arc<GatewayContext>,
+    node: CompactString,
     own_address: SocketAddr,
     /// Keys and addresses of the other gateways that the store lists.
     gateways: Vec<(CompactString, SocketAddr)>,
@@ -96,8 +108,9 @@
 /// Starts to follow the tables, and lists this gateway as `node` at `own_address` in the store.
 pub(super) fn start(
     role: &GatewayRole,
+    plan: &watch::Receiver<FeedPlan>,
     cx: &Arc<GatewayContext>,
-    node: CompactString,
+    node: &str,
     own_address: SocketAddr,
 ) {
     for table in [Table::Operator, Table::Listings, Table::Gateways] {
@@ -108,22 +121,15 @@
                 Table::Operator | Table::Listings => role.feed_wait,
                 Table::Gateways => role.feed_wait * GATEWAYS_WAIT_FACTOR,
             },
+            plan: plan.clone(),
             cx: Arc::clone(cx),
+            node: node.into(),
             own_address,
             gateways: Vec::new(),
             is_reachable: None,
         };
         tokio::spawn(watcher.run());
     }
-    tokio::spawn(register(StoreClient::new(role.store), node, own_address));
-}
-
-async fn register(mut store: StoreClient, node: CompactString, address: SocketAddr) {
-    let encoded_listing = listing::encode_gateway_listing(address);
-    while let Err(e) = store.put_row(GATEWAYS_TABLE, &node, &encoded_listing).await {
-        log::info!(node = node.as_str(); "could not write this gateway's listing: {e}");
-        tokio::time::sleep(REGISTER_RETRY_PAUSE).await;
-    }
 }
 
 impl Watcher {
@@ -139,15 +145,22 @@
     /// Reads the table, then applies its changes until the store no longer has the next ones.
     /// Retries failed calls for changes; only the read of the table returns an error.
     async fn follow_table(&mut self) -> Result<(), CallError> {
-        let snapshot = self.store.read_table(self.table.name()).await?;
+        let mut snapshot = self.store.read_table(self.table.name()).await?;
+        if self.table == Table::Gateways && !self.is_listed_in(&snapshot.rows) {
+            // Of two gateways that start at the same time, the one that reads last finds the other.
+            let encoded = listing::encode_gateway_listing(self.own_address);
+            self.store.put_row(GATEWAYS_TABLE, &self.node, &encoded).await?;
+            snapshot = self.store.read_table(self.table.name()).await?;
+        }
         self.record_reachability(true, None).await;
-        self.apply_snapshot(snapshot.rows).await;
         let mut version = snapshot.version;
+        self.apply_snapshot(snapshot).await;
         loop {
+            version = self.wait_until_followed(version).await;
             // After an outage the first call does not wait for changes, so that the gateway learns
             // at once that the store is reachable again.
             let was_reachable = self.is_reachable == Some(true);
-            let wait = if was_reachable { self.feed_wait } else { Duration::ZERO };
+            let wait = if was_reachable { self.current_wait() } else { Duration::ZERO };
             let update = match self.store.poll_feed(self.table.name(), version, wait).await {
                 Ok(update) => update,
                 Err(e) => {
@@ -160,10 +173,9 @@
             match update {
                 FeedUpdate::Changes(changes) => {
                     let is_changed = !changes.rows.is_empty();
-                    for row in changes.rows {
-                        self.apply_row(row).await;
-                    }
+                    let after = version;
                     version = changes.version.max(version);
+                    self.apply_changes(after, version, changes.rows).await;
                     if is_changed {
                         tokio::time::sleep(self.table.pause()).await;
                     }
@@ -179,6 +191,47 @@
         }
     }
 
+    fn is_listed_in(&self, rows: &[Row]) -> bool {
+        let mut own = rows.iter().filter(|row| row.key == self.node);
+        own.any(|row| {
+            let value = row.value.as_ref();
+            value.is_some_and(|value| {
+                listing::decode_gateway_listing(value).is_ok_and(|at| at == self.own_address)
+            })
+        })
+    }
+
+    fn mode(&self) -> FeedMode {
+        let plan = *self.plan.borrow();
+        match self.table {
+            Table::Operator => plan.operator,
+            Table::Listings => plan.listings,
+            Table::Gateways => FeedMode::Alone,
+        }
+    }
+
+    fn current_wait(&self) -> Duration {
+        match self.mode() {
+            FeedMode::ForPeers => self.feed_wait.min(FOLLOWER_WAIT),
+            FeedMode::Alone | FeedMode::Relayed => self.feed_wait,
+        }
+    }
+
+    /// Waits while peers relay the changes of the table; returns the version from which its feed
+    /// continues.
+    async fn wait_until_followed(&mut self, version: StoreVersion) -> StoreVersion {
+        while self.mode() == FeedMode::Relayed {
+            if self.plan.changed().await.is_err() {
+                // The control thread has ended, and nothing needs the table.
+                std::future::pending::<()>().await;
+            }
+        }
+        match self.table {
+            Table::Listings => version.max(self.plan.borrow().listings_version.0),
+            Table::Operator | Table::Gateways => version,
+        }
+    }
+
     async fn send(&self, event: Event) {
         // Sending fails only after the control thread has ended, when nothing needs the event.
         let _ = self.cx.control.send(Input::Event(event)).await;
@@ -198,47 +251,50 @@
         }
     }
 
-    async fn apply_snapshot(&mut self, rows: Vec<Row>) {
+    async fn apply_snapshot(&mut self, snapshot: VersionedRows) {
+        let VersionedRows { rows, version } = snapshot;
         match self.table {
-            Table::Operator => {
-                for row in rows {
-                    self.apply_row(row).await;
-                }
-            }
+            Table::Operator => self.apply_configuration(&rows).await,
             Table::Listings => {
+                let version = EventVersion(version);
                 let listings = rows.iter().filter_map(decode_listing).collect();
-                self.send(Event::ListingsRead(listings)).await;
+                self.send(Event::ListingsRead { version, listings }).await;
             }
             Table::Gateways => {
                 self.gateways.clear();
-                rows.iter().for_each(|row| self.update_gateway(row));
-                self.send_gateways().await;
+                self.update_gateways(&rows).await;
             }
         }
     }
 
-    async fn apply_row(&mut self, row: Row) {
+    async fn apply_changes(&mut self, after: StoreVersion, version: StoreVersion, rows: Vec<Row>) {
         match self.table {
-            Table::Operator if row.key == CONFIGURATION_KEY => {
-                if let Some(bytes) = &row.value {
-                    peers::apply_serving(bytes, true, &self.cx).await;
-                }
-            }
-            Table::Operator => {}
+            Table::Operator => self.apply_configuration(&rows).await,
             Table::Listings => {
-                let event = match decode_listing(&row) {
-                    Some(listing) => Event::ListingChanged(listing),
-                    None => Event::ListingRemoved { id: row.key },
-                };
-                self.send(event).await;
+                let changes = rows.into_iter().map(listing_change).collect();
+                let (after, version) = (EventVersion(after), EventVersion(version));
+                let update = ListingsUpdate { after, version, changes };
+                self.send(Event::ListingsChanged(update)).await;
             }
-            Table::Gateways => {
-                self.update_gateway(&row);
-                self.send_gateways().await;
+            Table::Gateways if rows.is_empty() => {}
+            Table::Gateways => self.update_gateways(&rows).await,
+        }
+    }
+
+    async fn apply_configuration(&self, rows: &[Row]) {
+        for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
+            if let Some(bytes) = &row.value {
+                peers::apply_serving(bytes, true, &self.cx).await;
             }
         }
     }
 
+    async fn update_gateways(&mut self, rows: &[Row]) {
+        rows.iter().for_each(|row| self.update_gateway(row));
+        let addresses = self.gateways.iter().map(|(_, address)| *address).collect();
+        self.send(Event::PeersRead(addresses)).await;
+    }
+
     fn update_gateway(&mut self, row: &Row) {
         self.gateways.retain(|(key, _)| *key != row.key);
         let Some(value) = &row.value else { return };
@@ -250,11 +306,6 @@
             }
         }
     }
-
-    async fn send_gateways(&self) {
-        let addresses = self.gateways.iter().map(|(_, address)| *address).collect();
-        self.send(Event::PeersRead(addresses)).await;
-    }
 }
 
 /// Waits after a failed call, for a random time, so that gateways do not all retry at once.
@@ -263,6 +314,15 @@
     tokio::time::sleep(pause).await;
 }
 
+/// Returns the change of a listing in a row of the feed; a row that cannot be decoded names no
+/// backend server.
+fn listing_change(row: Row) -> ListingChange {
+    match decode_listing(&row) {
+        Some(listing) => ListingChange::Listed(listing),
+        None => ListingChange::Removed { id: row.key },
+    }
+}
+
 /// Returns the listing in a row, or `None` if the row was removed or cannot be decoded.
 fn decode_listing(row: &Row) -> Option<Listing> {
     let value = row.value.as_ref()?;
