--- a/crates/snipespan_core/src/gateway/systems/membership.rs
+++ b/crates/snipespan_core/src/gateway/systems/membership.rs
@@ -9,6 +9,7 @@
 use crate::gateway::event::ListingChange;
 use crate::gateway::event::ListingsUpdate;
 use crate::gateway::event::PeerUpdate;
+use crate::gateway::event::StoreVersion;
 use crate::gateway::systems::feeds;
 use crate::gateway::tables::backend_servers::Availability;
 use crate::gateway::tables::backend_servers::BackendServer;
@@ -30,15 +31,9 @@
     for event in events {
         match event {
             Event::ListingsRead { version, listings } => {
-                if feeds::record_read(world, now, *version) {
-                    apply_listings(world, now, listings, effects);
-                }
-            }
-            Event::ListingsChanged(update) => {
-                if feeds::record_feed_answer(world, now, update) {
-                    apply_update(world, now, update, effects);
-                }
+                read_listings(world, now, *version, listings, effects);
             }
+            Event::ListingsChanged(update) => receive_update(world, now, update, effects),
             Event::PeerMessageReceived { message, .. } => {
                 if let PeerUpdate::Listings(update) = &message.update
                     && feeds::record_relayed(world, update)
@@ -54,6 +49,31 @@
     due
 }
 
+/// Applies the complete list, unless relayed changes are newer.
+fn read_listings(
+    world: &mut World,
+    now: Timestamp,
+    version: StoreVersion,
+    listings: &[Listing],
+    effects: &mut Vec<Effect>,
+) {
+    if feeds::record_read(world, now, version) {
+        apply_listings(world, now, listings, effects);
+    }
+}
+
+/// Applies changes from the store's feed, unless relayed ones are newer.
+fn receive_update(
+    world: &mut World,
+    now: Timestamp,
+    update: &ListingsUpdate,
+    effects: &mut Vec<Effect>,
+) {
+    if feeds::record_feed_answer(world, now, update) {
+        apply_update(world, now, update, effects);
+    }
+}
+
 fn apply_update(
     world: &mut World,
     now: Timestamp,
