Routing: draw candidates and leave slots free where short prompts gather

Each of 103 gateways chose the same best engine until its slots had run out. Change: a request chooses among 24 engines drawn at random, and among the others only if none of these is on time; short prompts gather up to 0.8 of an engine's slots.

--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use crate::gateway::engine::EngineSpec;
 use crate::gateway::serving::Route;
@@ -20,10 +21,23 @@
 const REMOTE_LOSS: f64 = 0.002;
 
 /// Loss of sending a short prompt to an engine without other work, in shares of its value; falls to
-/// zero with the share of slots in use. It gathers streams at few engines and leaves the others to
-/// long prompts, whose prefill would make the streams pause.
+/// zero at `PACKED_SHARE` of the slots in use. It gathers streams at few engines and leaves the
+/// others to long prompts, whose prefill would make the streams pause.
 const IDLE_ENGINE_LOSS: f64 = 0.15;
 
+/// Share of an engine's slots up to which short prompts are gathered there. The rest is left for
+/// requests that other gateways send to the same engine at the same time.
+const PACKED_SHARE: f64 = 0.8;
+
+/// Loss of sending a short prompt to an engine with `PACKED_SHARE` of its slots in use, in shares
+/// of its value; twice that with all in use. As much as the loss at an idle engine, so that the
+/// next engine is used before slots run out.
+const CROWDED_ENGINE_LOSS: f64 = 0.15;
+
+/// Maximum number of backend servers among which one request chooses, drawn at random. Hundreds of
+/// gateways that all see the same best engine would otherwise send to it at the same time.
+const MAX_CANDIDATES: usize = 24;
+
 /// Prefill time in ms below which a prompt is short; most gap goals allow for two such prefills.
 const SHORT_PREFILL_MS: f64 = 100.0;
 
@@ -71,17 +85,39 @@
 }
 
 /// Chooses the backend server with the least loss for a request that it serves alone; `None` when
-/// none has capacity.
+/// none has capacity. Those that are not drawn at first are considered as well if no drawn one is
+/// expected to meet the latency goal.
 pub fn choose_backend_server(
     world: &World,
     now: Timestamp,
     request: &Request,
     rng: &mut SmallRng,
+) -> Option<Choice> {
+    let mut candidates = usable_backend_servers(world, now, request);
+    let count = candidates.len();
+    let (drawn, others) = candidates.partial_shuffle(rng, MAX_CANDIDATES);
+    let best = choose_among(world, now, request, drawn, rng);
+    let goal_ms = request.latency_goal.as_secs_f64() * 1e3;
+    let chosen = match best {
+        Some(best) if best.expected_first_event_ms <= goal_ms => Some(best),
+        best => {
+            let other = choose_among(world, now, request, others, rng);
+            best.into_iter().chain(other).min_by(|a, b| a.loss.total_cmp(&b.loss))
+        }
+    };
+    chosen.map(|choice| Choice { candidates: count, ..choice })
+}
+
+fn choose_among(
+    world: &World,
+    now: Timestamp,
+    request: &Request,
+    candidates: &[BackendServerKey],
+    rng: &mut SmallRng,
 ) -> Option<Choice> {
     let engine = engine_of(world, request).copied();
-    let candidates = usable_backend_servers(world, now, request);
     let mut best: Option<Choice> = None;
-    for key in &candidates {
+    for key in candidates {
         let Some(row) = world.backend_servers.rows.get(*key) else { continue };
         let estimated = estimate(world, now, row, engine.as_ref(), request);
         let Some((loss, expected_first_event_ms)) = estimated else { continue };
@@ -157,12 +193,21 @@
     }
     let own = prediction::late_loss(first_event_ms, request) * demand.value;
     let interference = prediction::interference_loss(world, row, engine, &load, demand.prefill_ms);
-    let idle_engine = match demand.prefill_ms < SHORT_PREFILL_MS {
-        true => IDLE_ENGINE_LOSS * (1.0 - load.open as f64 / slots as f64).max(0.0) * demand.value,
+    let packing = match demand.prefill_ms < SHORT_PREFILL_MS {
+        true => packing_loss(load.open as f64 / slots as f64) * demand.value,
         false => 0.0,
     };
     let remote = remote_loss(world, row) * demand.value;
-    Some((own + interference + idle_engine + remote, first_event_ms))
+    Some((own + interference + packing + remote, first_event_ms))
+}
+
+/// Returns the loss of sending a short prompt to an engine by the share of its slots in use, in
+/// shares of the request's value.
+fn packing_loss(used: f64) -> f64 {
+    match used < PACKED_SHARE {
+        true => IDLE_ENGINE_LOSS * (1.0 - used / PACKED_SHARE),
+        false => CROWDED_ENGINE_LOSS * (1.0 + (used - PACKED_SHARE) / (1.0 - PACKED_SHARE)),
+    }
 }
 
 /// Returns the loss of sending to the data centre of a backend server, in shares of the request's
