Let requests wait for the first configuration, and advise retries by what clients honour

Each request of a gateway without a configuration was refused at once, with a quarter of the client's time as Retry-After; of 417 refused listing drafts nearly all were refused again by their only retry between 34 and 38 s, and lost. Change: such a request waits up to 1.5 s, less than its client waits for a first event, in a table of its own, and is refused then with 0.32 of the remaining time (clients honour a third). A client that leaves meanwhile is found when its request is admitted. Stale data still refuses at once.

--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -14,11 +14,13 @@
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::WorkDemand;
 use crate::gateway::tables::work::WorkId;
+use crate::keys::ArrivalKey;
 use crate::keys::BackendServerKey;
 use crate::keys::CallerKey;
 use crate::keys::RequestKey;
 use crate::keys::WorkKey;
 use crate::result_code::ResultCode;
+use crate::table::Entity;
 use crate::time::Timestamp;
 
 /// An event that the next tick of a gateway handles.
@@ -128,6 +130,10 @@
     pub output_hint: Option<u64>,
 }
 
+impl Entity for Arrival {
+    type Key = ArrivalKey;
+}
+
 /// Why an attempt did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRunReason {
--- a/crates/snipespan_core/src/gateway/systems/arrivals.rs
+++ b/crates/snipespan_core/src/gateway/systems/arrivals.rs
@@ -31,22 +31,74 @@
 /// between 0.85 and 1 of the timeout.
 const CLIENT_RETRY_SHARE: f64 = 0.82;
 
-/// Handles arrivals and client disconnects.
-pub fn run(world: &mut World, now: Timestamp, events: &[Event], effects: &mut Vec<Effect>) {
+/// Divisor of a client's time limit that gives the maximum wait for a configuration; the client
+/// needs the rest for its retry.
+const NOT_READY_WAIT_DIVISOR: u32 = 4;
+
+/// Time for which a request waits for the configuration that its route or key is looked up in; three
+/// quarters of the shortest time after which a client leaves a stream without an event.
+const NOT_READY_WAIT: Duration = Duration::from_millis(1500);
+
+/// Handles arrivals and client disconnects; returns when a request that waits for a configuration
+/// is refused.
+///
+/// Load pattern: all gateways start while the store is down. None knows a configuration, and all
+/// clients whose only retry is refused as well are lost.
+pub fn run(
+    world: &mut World,
+    now: Timestamp,
+    events: &[Event],
+    effects: &mut Vec<Effect>,
+) -> Option<Timestamp> {
+    let mut may_be_ready = world.stop.requested.is_some();
     for event in events {
         match event {
-            Event::Arrival(arrival) => handle_arrival(world, now, arrival, effects),
+            Event::Arrival(arrival) => {
+                world.counters.arrivals += 1;
+                handle_arrival(world, now, arrival, effects);
+            }
             Event::CallerDisconnected { request } => {
                 ending::finish_request(world, now, *request, ResultCode::CallerGone, effects);
             }
+            Event::ServingReceived { .. } => may_be_ready = true,
             _ => {}
         }
     }
+    retry_unrouted(world, now, may_be_ready, effects)
+}
+
+/// Handles the requests that wait for a configuration again, those whose wait is over or all;
+/// returns when the next wait ends.
+fn retry_unrouted(
+    world: &mut World,
+    now: Timestamp,
+    is_for_all: bool,
+    effects: &mut Vec<Effect>,
+) -> Option<Timestamp> {
+    let rows = world.unrouted.iter();
+    let due = rows.filter(|(_, row)| is_for_all || wait_end(row) <= now);
+    let due: Vec<_> = due.map(|(key, _)| key).collect();
+    for key in due {
+        if let Some(arrival) = world.unrouted.remove(key) {
+            handle_arrival(world, now, &arrival, effects);
+        }
+    }
+    world.unrouted.iter().map(|(_, row)| wait_end(row)).min()
+}
+
+/// Returns until when a request waits for a configuration.
+fn wait_end(arrival: &Arrival) -> Timestamp {
+    let limit = arrival.time_limit.unwrap_or(Duration::MAX);
+    arrival.received.after(NOT_READY_WAIT.min(limit / NOT_READY_WAIT_DIVISOR))
 }
 
 fn handle_arrival(world: &mut World, now: Timestamp, arrival: &Arrival, effects: &mut Vec<Effect>) {
-    world.counters.arrivals += 1;
     match admit_request(world, now, arrival) {
+        Err(ResultCode::NotReady)
+            if world.serving.is_none()
+                && now < wait_end(arrival)
+                && world.stop.requested.is_none()
+                && world.unrouted.insert(arrival.clone()).is_ok() => {}
         Ok(request) => {
             let row = world.requests.get(request);
             let is_streaming = row.is_some_and(|row| row.kind.is_streaming());
@@ -66,7 +118,8 @@
                     .unwrap_or_default(),
                 store_age: world.store.last_answer.map(|answered| now.since(answered)),
             })));
-            let remaining = arrival.time_limit.unwrap_or(Duration::MAX);
+            let waited = now.since(arrival.received);
+            let remaining = arrival.time_limit.unwrap_or(Duration::MAX).saturating_sub(waited);
             let retry_after = match code {
                 ResultCode::NotReady => Some(ending::retry_after(code, remaining)),
                 _ => code.row().retry.delay(),
--- a/crates/snipespan_core/src/gateway/systems/ending.rs
+++ b/crates/snipespan_core/src/gateway/systems/ending.rs
@@ -21,11 +21,11 @@
 
 /// Maximum `Retry-After` of a gateway without a configuration: outages of the store last some
 /// seconds, and clients retry once.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(3);
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// Divisor of the client's remaining time that gives the maximum `Retry-After`; clients honour up
-/// to a third of that time.
-const RETRY_AFTER_DIVISOR: u32 = 4;
+/// Share of the client's remaining time that gives the maximum `Retry-After`; clients honour up to
+/// a third of that time, which has passed in part when the answer arrives.
+const MAX_RETRY_AFTER_SHARE: f64 = 0.32;
 
 /// Returns the `Retry-After` for a client that is refused with `code` and has `remaining` left.
 pub fn retry_after(code: ResultCode, remaining: Duration) -> Duration {
@@ -34,7 +34,7 @@
         ResultCode::NotReady => NOT_READY_RETRY_AFTER,
         _ => MAX_RETRY_AFTER,
     };
-    limit.min(remaining / RETRY_AFTER_DIVISOR)
+    limit.min(remaining.mul_f64(MAX_RETRY_AFTER_SHARE))
 }
 
 /// Ends a request with a code of this gateway; one that may have run never ends as "not run".
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -31,14 +31,15 @@
     serving::run(world, now, events, &mut effects);
     peers::receive(world, now, events, &mut effects);
     let follow_at = feeds::run(world, now, &mut effects);
-    arrivals::run(world, now, events, &mut effects);
+    let refuse_at = arrivals::run(world, now, events, &mut effects);
     attempts::run(world, now, events, &mut effects);
     let expire_at = expiry::run(world, now, &mut effects);
     let place_at = placing::run(world, now, &mut effects);
     let span_at = spans::run(world, now, events, &mut effects);
     let stop_at = process::run(world, now, events, &mut effects);
     let notify_at = peers::notify(world, now, &mut effects);
-    let due = [list_at, follow_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
+    let due =
+        [list_at, follow_at, refuse_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
     let wake_at = due.into_iter().flatten().min();
     Tick { effects, wake_at }
 }
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -11,6 +11,7 @@
 use statig::blocking::StateMachine;
 
 use crate::gateway::effect::FeedPlan;
+use crate::gateway::event::Arrival;
 use crate::gateway::event::ListingsUpdate;
 use crate::gateway::event::StoreVersion;
 use crate::gateway::event::WorkChange;
@@ -134,6 +135,8 @@
     pub work: Table<Work>,
     /// Work of the peers, by peer and the id that the peer gave it.
     pub peer_work: BTreeMap<(PeerKey, WorkId), WorkKey>,
+    /// Requests that wait for a configuration in which their route and key are looked up.
+    pub unrouted: Table<Arrival>,
     /// Requests without a final answer.
     pub requests: Table<Request>,
     /// Requests by deadline.
@@ -179,6 +182,7 @@
             backend_servers: BackendServers::default(),
             work: Table::new(MAX_WORK),
             peer_work: BTreeMap::new(),
+            unrouted: Table::new(max_requests),
             requests: Table::new(max_requests),
             deadlines: BTreeSet::new(),
             placement_queue: BTreeSet::new(),
--- a/crates/snipespan_core/src/keys.rs
+++ b/crates/snipespan_core/src/keys.rs
@@ -5,6 +5,8 @@
 new_key_type! {
     /// Key of a client account in an entry's account table.
     pub struct AccountKey;
+    /// Key of a request that waits for a gateway's configuration.
+    pub struct ArrivalKey;
     /// Key of an attempt at one backend server in an entry's attempt table.
     pub struct AttemptKey;
     /// Key of a backend server in the table of an entry or a gateway.
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -126,6 +126,7 @@
         limits_tx,
         connection_policy_tx,
         feeds_tx,
+        disconnected: Vec::new(),
         link: link.sender(),
         cx: Arc::clone(&cx),
         stopped_tx: Some(stopped_tx),
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -77,6 +77,8 @@
     pub(super) limits_tx: watch::Sender<ClientLimits>,
     pub(super) connection_policy_tx: watch::Sender<ConnectionPolicy>,
     pub(super) feeds_tx: watch::Sender<FeedPlan>,
+    /// Disconnects that the next step handles.
+    pub(super) disconnected: Vec<Event>,
     pub(super) link: PeerSender,
     pub(super) cx: Arc<GatewayContext>,
     pub(super) stopped_tx: Option<oneshot::Sender<()>>,
@@ -99,6 +101,10 @@
     fn execute_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Admitted { caller, request, is_streaming } => {
+                if self.callers.get(caller).is_some_and(mpsc::Sender::is_closed) {
+                    // The client left before its task knew the key of the request.
+                    self.disconnected.push(Event::CallerDisconnected { request });
+                }
                 self.send_order(caller, Order::Admitted { request, is_streaming });
             }
             Effect::Send { caller, dispatch } => self.send_order(caller, Order::Send(dispatch)),
@@ -191,7 +197,8 @@
 
     fn step(&mut self, now: Timestamp, inputs: &mut Vec<Input>) -> Option<Timestamp> {
         let inputs = std::mem::take(inputs);
-        let events: Vec<_> = inputs.into_iter().map(|input| self.handle_input(input)).collect();
+        let mut events = std::mem::take(&mut self.disconnected);
+        events.extend(inputs.into_iter().map(|input| self.handle_input(input)));
         let tick = tick(&mut self.world, now, &events);
         for effect in tick.effects {
             self.execute_effect(effect);
@@ -200,6 +207,9 @@
             self.metrics_due = now.after(METRICS_INTERVAL);
             self.cx.metrics.update(&self.world);
         }
-        tick.wake_at
+        match self.disconnected.is_empty() {
+            true => tick.wake_at,
+            false => Some(now),
+        }
     }
 }
