--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod arrivals;
 mod attempts;
+mod crest;
 mod deferral;
 mod engine;
 mod feeds;
