Log when a backend server is suspended and when it is usable again

Cause: an operator could not see in the logs why a backend server got no requests. Change: systems/health.rs records failures and successes and logs the changes of a suspension. Result: suspension_and_its_end_are_logged.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -155,6 +155,15 @@
         /// lapsed with the store, listing removed, or not listed again.
         cause: &'static str,
     },
+    /// A backend server was suspended after failures, or a success ended its suspension.
+    SuspensionChanged {
+        /// The backend server.
+        backend_server: CompactString,
+        /// Time for which it is suspended; `None` if it is usable again.
+        suspended_for: Option<Duration>,
+        /// Failures since its last success.
+        failures: u32,
+    },
     /// The store became unreachable or reachable again.
     StoreChanged {
         /// Whether it answers.
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -6,6 +6,7 @@
 pub mod ending;
 pub mod expiry;
 pub mod feeds;
+pub mod health;
 pub mod helpers;
 pub mod membership;
 pub mod peers;
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -8,6 +8,7 @@
 use crate::gateway::event::FailReason;
 use crate::gateway::event::NotRunReason;
 use crate::gateway::systems::ending;
+use crate::gateway::systems::health;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Work;
@@ -29,7 +30,7 @@
             Event::AttemptNotRun { work, reason } => {
                 attempt_not_run(world, now, *work, *reason, effects)
             }
-            Event::AttemptProgress { work } => record_progress(world, now, *work),
+            Event::AttemptProgress { work } => record_progress(world, now, *work, effects),
             Event::AttemptCompleted { work, longest_gap } => {
                 attempt_completed(world, now, *work, *longest_gap, effects);
             }
@@ -49,7 +50,7 @@
     }
 }
 
-fn record_progress(world: &mut World, now: Timestamp, key: WorkKey) {
+fn record_progress(world: &mut World, now: Timestamp, key: WorkKey, effects: &mut Vec<Effect>) {
     let Some(request) = request_of(world, key) else { return };
     let Some(row) = world.requests.get_mut(request) else { return };
     row.first_byte.get_or_insert(now);
@@ -58,6 +59,7 @@
     let helpers = row.helper_work.clone();
     let Some(work) = world.work.get(key).copied() else { return };
     if work.phase == Phase::Prefill && has_no_helpers {
+        health::record_success(world, work.backend_server, effects);
         record_slowdown(world, now, &work);
     }
     world.start_decode(key, now);
@@ -71,11 +73,10 @@
     }
 }
 
-/// Records a success of a backend server, and its slowdown by comparing the time to the first event
-/// with the prediction, if there is one.
+/// Records the slowdown of a backend server by comparing the time to the first event with the
+/// prediction, if there is one.
 fn record_slowdown(world: &mut World, now: Timestamp, work: &Work) {
     let Some(row) = world.backend_servers.rows.get_mut(work.backend_server) else { return };
-    row.record_success();
     if work.expected_first_event_ms > 0.0 && work.demand.prefill_ms > 0.0 {
         let elapsed_ms = now.since(work.dispatched).as_secs_f64() * 1e3;
         // The prediction includes the slowdown as of the dispatch; the product is the ratio to the
@@ -97,10 +98,8 @@
         row.first_byte.get_or_insert(now);
         row.longest_gap = longest_gap;
     }
-    if let Some(work) = world.work.get(key)
-        && let Some(row) = world.backend_servers.rows.get_mut(work.backend_server)
-    {
-        row.record_success();
+    if let Some(server) = world.work.get(key).map(|work| work.backend_server) {
+        health::record_success(world, server, effects);
     }
     ending::finish_request(world, now, request, ResultCode::Ok, effects);
 }
@@ -114,15 +113,15 @@
 ) {
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
     world.counters.sends_not_run += 1;
-    if let Some(server) = world.backend_servers.rows.get_mut(work.backend_server)
+    match reason {
+        NotRunReason::Refused | NotRunReason::Expired => {}
+        NotRunReason::OtherInstance | NotRunReason::Unreachable => {
+            health::record_failure(world, now, work.backend_server, true, effects);
+        }
+    }
+    if let Some(server) = world.backend_servers.rows.get(work.backend_server)
         && let Some(row) = world.requests.get(request)
     {
-        match reason {
-            NotRunReason::Refused | NotRunReason::Expired => {}
-            NotRunReason::OtherInstance | NotRunReason::Unreachable => {
-                server.record_failure(now, true);
-            }
-        }
         effects.push(Effect::LogDecision(Box::new(Decision::NotRun {
             id: row.id.clone(),
             backend_server: server.listing.id.clone(),
@@ -145,10 +144,10 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
-    if let Some(server) = world.backend_servers.rows.get_mut(work.backend_server)
+    health::record_failure(world, now, work.backend_server, false, effects);
+    if let Some(server) = world.backend_servers.rows.get(work.backend_server)
         && let Some(row) = world.requests.get(request)
     {
-        server.record_failure(now, false);
         effects.push(Effect::LogDecision(Box::new(Decision::Failed {
             id: row.id.clone(),
             backend_server: server.listing.id.clone(),
--- a/crates/snipespan_core/src/gateway/systems/expiry.rs
+++ b/crates/snipespan_core/src/gateway/systems/expiry.rs
@@ -6,6 +6,7 @@
 use crate::gateway::effect::Effect;
 use crate::gateway::systems::attempts;
 use crate::gateway::systems::ending;
+use crate::gateway::systems::health;
 use crate::gateway::systems::routing;
 use crate::gateway::systems::splitting;
 use crate::gateway::systems::splitting::KvPlacement;
@@ -173,8 +174,8 @@
     effects.push(Effect::DropAttempt { caller: row.caller });
     let id = row.id.clone();
     let silence = now.since(row.last_event);
-    if let Some(row) = world.backend_servers.rows.get_mut(work.backend_server) {
-        row.record_failure(now, false);
+    health::record_failure(world, now, work.backend_server, false, effects);
+    if let Some(row) = world.backend_servers.rows.get(work.backend_server) {
         let backend_server = row.listing.id.clone();
         let decision = Decision::Stalled { id, backend_server, silence, limit };
         effects.push(Effect::LogDecision(Box::new(decision)));
--- a/crates/snipespan_core/tests/gateway/attempts.rs
+++ b/crates/snipespan_core/tests/gateway/attempts.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use snipespan_core::gateway::decision::Decision;
+use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
@@ -140,3 +142,37 @@
     }
     kit.send("/order/2", 0);
 }
+
+/// Guards against a backend server that is passed over without a log line that says why, or that is
+/// used again without one.
+#[test]
+fn suspension_and_its_end_are_logged() {
+    let mut kit = Kit::new(1);
+    let mut logged = Vec::new();
+    for _ in 0..3 {
+        kit.arrive("/order/1", 0);
+        let work = kit.sent_one().work;
+        kit.step(vec![Event::AttemptFailed { work, reason: FailReason::Broken }]);
+        logged.extend(suspensions(&kit));
+    }
+    let first = Duration::from_millis(500);
+    assert_eq!(logged, [(Some(first), 3)], "from the third failure in a row");
+    kit.arrive("/order/1", 0);
+    let work = kit.sent_one().work;
+    kit.step(vec![Event::AttemptCompleted { work, longest_gap: Duration::ZERO }]);
+    assert_eq!(suspensions(&kit), [(None, 0)]);
+}
+
+/// Returns the changes of suspensions that were logged in the last tick, with the failures.
+fn suspensions(kit: &Kit) -> Vec<(Option<Duration>, u32)> {
+    let logged = kit.effects.iter().filter_map(|effect| match effect {
+        Effect::LogDecision(decision) => match **decision {
+            Decision::SuspensionChanged { suspended_for, failures, .. } => {
+                Some((suspended_for, failures))
+            }
+            _ => None,
+        },
+        _ => None,
+    });
+    logged.collect()
+}
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -100,6 +100,16 @@
                 standing = availability, cause; "backend server changed"
             )
         }
+        Decision::SuspensionChanged { backend_server, suspended_for, failures } => {
+            let message = match suspended_for {
+                Some(_) => "backend server suspended",
+                None => "backend server usable again",
+            };
+            log::info!(
+                backend_server = backend_server.as_str(),
+                suspended_ms = suspended_for.map_or(0.0, ms), failures; "{message}"
+            );
+        }
         Decision::StoreChanged { is_reachable, lasted } => {
             let message = if *is_reachable { "store regained" } else { "store lost" };
             log::info!(lasted_ms = ms(*lasted); "{message}");
