Prove with real processes that relayed listings reach all gateways in time

Ten gateways, four of which follow the store's feeds: a draining replica gets nothing new after 2 s, also when all four followers are killed or suspended just before; while nothing changes only the followers call the store (at most 50 calls in 4 s of ten gateways).

--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -8,5 +8,6 @@
 mod faults;
 mod harness;
 mod observing;
+mod relaying;
 mod spans;
 mod store;
--- /dev/null
+++ b/crates/snipespand/tests/gateway/relaying.rs
@@ -0,0 +1,92 @@
+//! Tests of gateways that follow the store's feeds for each other.
+
+use std::time::Duration;
+
+use hyper::Method;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+
+use crate::harness::Gateway;
+use crate::harness::TestPlatform;
+use crate::harness::wait_until;
+
+/// Number of gateways; with nine or more, four of them follow the feeds.
+const GATEWAYS: usize = 10;
+
+/// Shortest time in which a deployment requires that a draining backend server gets no new work.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
+fn is_in_mode(gateway: &Gateway, mode: &str) -> bool {
+    let lines = gateway.log_lines("following of the store's feeds changed", None);
+    lines.last().is_some_and(|line| line["listings"] == mode)
+}
+
+/// Starts the gateways and waits until four follow the feeds and the others rely on them.
+async fn start_gateways(platform: &TestPlatform) -> Vec<Gateway> {
+    let names = (0..GATEWAYS).map(|number| format!("gateway-{number}"));
+    let starts = names.map(|name| async move { platform.gateway(&name).await });
+    let gateways = futures_util::future::join_all(starts).await;
+    wait_until("four gateways follow for the others", || {
+        let count = |mode| gateways.iter().filter(|gateway| is_in_mode(gateway, mode)).count();
+        count("ForPeers") == 4 && count("Relayed") == GATEWAYS - 4
+    })
+    .await;
+    gateways
+}
+
+/// Drains the first plain replica, and returns how many requests it runs that the gateways get
+/// after the limit.
+async fn runs_after_draining(platform: &TestPlatform, gateways: &[Gateway]) -> usize {
+    platform.set_state(&platform.plain[0], "draining");
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    let before = platform.plain[0].runs().len();
+    for (number, gateway) in gateways.iter().enumerate() {
+        for call in 0..4 {
+            let id = format!("request-{number}-{call}");
+            let answer = gateway.call(Method::POST, "/order/1", &id).await;
+            assert_eq!(answer.status, 200);
+        }
+    }
+    platform.plain[0].runs().len() - before
+}
+
+/// Guards against a relayed change that a gateway does not apply.
+#[tokio::test]
+async fn draining_is_relayed_to_all_gateways() {
+    let platform = TestPlatform::start(2).await;
+    let gateways = start_gateways(&platform).await;
+    assert_eq!(runs_after_draining(&platform, &gateways).await, 0);
+}
+
+/// Guards against gateways that miss a change because all that follow the feeds for them have
+/// stopped or are suspended.
+#[rstest]
+#[case::killed(Signal::SIGKILL)]
+#[case::suspended(Signal::SIGSTOP)]
+#[tokio::test]
+async fn draining_is_known_in_time_without_the_followers(#[case] signal: Signal) {
+    let platform = TestPlatform::start(2).await;
+    let gateways = start_gateways(&platform).await;
+    let (followers, others): (Vec<_>, Vec<_>) =
+        gateways.into_iter().partition(|gateway| is_in_mode(gateway, "ForPeers"));
+    followers.iter().for_each(|gateway| gateway.signal(signal));
+    assert_eq!(runs_after_draining(&platform, &others).await, 0);
+}
+
+/// Guards against calls to the store that grow with the number of gateways while nothing changes.
+/// Four followers call two feeds each 0.8 s; without relaying, ten gateways call them each 3.5 s.
+#[tokio::test]
+async fn gateways_that_rely_on_followers_do_not_call_the_store() {
+    let platform = TestPlatform::start(1).await;
+    let gateways = start_gateways(&platform).await;
+    let (followers, others): (Vec<_>, Vec<_>) =
+        gateways.into_iter().partition(|gateway| is_in_mode(gateway, "ForPeers"));
+    // Calls that were open when the gateways began to rely on the followers end within 3.5 s.
+    tokio::time::sleep(Duration::from_millis(4000)).await;
+    let before = platform.store.calls();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = platform.store.calls() - before;
+    assert!(calls <= 4 * 2 * 6 + 2, "{calls} calls in 4 s");
+    assert!(others.iter().all(|gateway| is_in_mode(gateway, "Relayed")));
+    drop(followers);
+}
