Own interface: use each connection to a backend server for one request

Change: the side process's HTTP client keeps no idle connections. Gateways already open one connection an attempt.

--- a/crates/snipespan_backend/src/http.rs
+++ b/crates/snipespan_backend/src/http.rs
@@ -16,9 +16,6 @@
 
 use crate::error::BackendError;
 
-/// Maximum number of idle connections that are kept per backend server.
-const MAX_IDLE_CONNECTIONS: usize = 256;
-
 /// Error of the source of a request body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -28,13 +25,15 @@
 /// HTTP client with streamed request bodies.
 pub type HttpClient = Client<HttpConnector, RequestBody>;
 
-/// Creates a client that never retries a request, so that it sends each request at most once.
+/// Creates a client that never retries a request, so that it sends each request at most once, and
+/// that uses each connection for one request. On a connection that is used again, a second copy of
+/// an earlier answer would be taken for the answer to the next request.
 pub fn client() -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
-        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+        .pool_max_idle_per_host(0)
         .pool_timer(TokioTimer::new())
         .build(connector)
 }
