--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -50,6 +50,10 @@
 /// call returns several changes of a series; there is no time limit for them.
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(8);
 
+/// Maximum pause after a failed call for the gateways' listings, for which there is no time limit;
+/// peers find each other by the seeds as well.
+const GATEWAYS_RETRY_PAUSE: Duration = Duration::from_secs(2);
+
 /// Factor on the maximum wait for changes of the gateways' listings, for which there is no time
 /// limit.
 const GATEWAYS_WAIT_FACTOR: u32 = 4;
@@ -137,7 +141,7 @@
         loop {
             if let Err(e) = self.follow_table().await {
                 self.record_reachability(false, Some(&e)).await;
-                pause_before_retry().await;
+                pause_before_retry(self.table).await;
             }
         }
     }
@@ -165,7 +169,7 @@
                 Ok(update) => update,
                 Err(e) => {
                     self.record_reachability(false, Some(&e)).await;
-                    pause_before_retry().await;
+                    pause_before_retry(self.table).await;
                     continue;
                 }
             };
@@ -309,8 +313,12 @@
 }
 
 /// Waits after a failed call, for a random time, so that gateways do not all retry at once.
-async fn pause_before_retry() {
-    let pause = RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.0));
+async fn pause_before_retry(table: Table) {
+    let limit = match table {
+        Table::Operator | Table::Listings => RETRY_PAUSE,
+        Table::Gateways => GATEWAYS_RETRY_PAUSE,
+    };
+    let pause = limit.mul_f64(rand::rng().random_range(0.5..1.0));
     tokio::time::sleep(pause).await;
 }
 
