Split notifications from the view of peers, and use one type for versions of the store

No change of behaviour. systems/notifications.rs sends what systems/peers.rs of another gateway applies; the adapter uses the decisions' StoreVersion.

--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod helpers;
 pub mod membership;
+pub mod notifications;
 pub mod peers;
 pub mod placing;
 pub mod prediction;
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -1,4 +1,5 @@
-//! The shared view of open work: gateways notify each other of dispatches and ends.
+//! The shared view of open work, from what the other gateways report; `notifications.rs` sends what
+//! this one has.
 //!
 //! Each change goes to all peers at once, and a full snapshot follows at intervals, which makes up
 //! for a lost datagram, a restart or a partition. Each gateway keeps the state of its own work and
@@ -24,15 +25,10 @@
 use crate::gateway::tables::work::WorkId;
 use crate::gateway::tables::work::WorkOwner;
 use crate::gateway::world::World;
-use crate::gateway::world::work_id;
 use crate::keys::PeerKey;
 use crate::keys::WorkKey;
-use crate::lifecycle::process::State;
 use crate::time::Timestamp;
 
-/// Interval between full snapshots; a third of the time after which a silent peer counts as lost.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Interval of the checks for silent peers and unconfirmed work; a small part of the limits on
 /// both.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -45,15 +41,8 @@
 /// it, and the interval between such requests.
 const SERVING_FETCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Maximum number of pieces of work in one datagram, which keeps it below 1,400 bytes, so that no
-/// link fragments it.
-const WORK_PER_MESSAGE: usize = 18;
-
-/// Maximum number of changed listings in one datagram, which keeps it below 1,400 bytes.
-const LISTINGS_PER_MESSAGE: usize = 9;
-
 /// Applies messages of peers, and expires peers and work that are no longer reported.
-pub fn receive(world: &mut World, now: Timestamp, events: &[Event], effects: &mut Vec<Effect>) {
+pub fn run(world: &mut World, now: Timestamp, events: &[Event], effects: &mut Vec<Effect>) {
     for event in events {
         match event {
             Event::PeersRead(addresses) => apply_peer_list(world, addresses),
@@ -295,99 +284,3 @@
     world.last_serving_fetch = Some(now);
     effects.push(Effect::FetchServing { from, version });
 }
-
-/// Notifies the peers of changes; returns when the next message is due without one.
-pub fn notify(world: &mut World, now: Timestamp, effects: &mut Vec<Effect>) -> Timestamp {
-    let mut changes = std::mem::take(&mut world.pending_changes);
-    if matches!(world.process.state(), State::Stopped {}) {
-        send_update(world, now, PeerUpdate::Leaving, effects);
-        return now.after(SNAPSHOT_INTERVAL);
-    }
-    for update in std::mem::take(&mut world.listings.unrelayed) {
-        // A peer that misses changes calls the feed itself once a report names them.
-        if update.changes.len() <= LISTINGS_PER_MESSAGE {
-            send_update(world, now, PeerUpdate::Listings(update), effects);
-        }
-    }
-    let new_peers = std::mem::take(&mut world.new_peers);
-    let is_report_due = feeds::take_report_due(world, now);
-    if now >= world.snapshot_due {
-        world.snapshot_due = now.after(SNAPSHOT_INTERVAL);
-        let own_work_reports = own_work_reports(world, now);
-        if own_work_reports.len() <= WORK_PER_MESSAGE {
-            send_update(world, now, PeerUpdate::Snapshot(own_work_reports), effects);
-            return world.snapshot_due.or_sooner(feeds::next_report(world));
-        }
-        // A longer snapshot is sent as changes; ended work, which it no longer names, expires at
-        // the peers.
-        changes.extend(own_work_reports.into_iter().map(WorkChange::Started));
-    } else if !new_peers.is_empty() {
-        send_snapshot_to(world, now, new_peers, effects);
-    }
-    if changes.is_empty() && is_report_due {
-        send_update(world, now, PeerUpdate::Changes(Vec::new()), effects);
-    }
-    while !changes.is_empty() {
-        let rest = changes.split_off(changes.len().min(WORK_PER_MESSAGE));
-        send_update(world, now, PeerUpdate::Changes(changes), effects);
-        changes = rest;
-    }
-    world.snapshot_due.or_sooner(feeds::next_report(world))
-}
-
-/// Sends a snapshot to gateways that were just found; the others have the changes.
-fn send_snapshot_to(
-    world: &mut World,
-    now: Timestamp,
-    new_peers: Vec<SocketAddr>,
-    effects: &mut Vec<Effect>,
-) {
-    let reports = own_work_reports(world, now);
-    if reports.len() <= WORK_PER_MESSAGE {
-        send_to(world, now, new_peers, PeerUpdate::Snapshot(reports), effects);
-        return;
-    }
-    for part in reports.chunks(WORK_PER_MESSAGE) {
-        let changes = part.iter().cloned().map(WorkChange::Started).collect();
-        send_to(world, now, new_peers.clone(), PeerUpdate::Changes(changes), effects);
-    }
-}
-
-fn send_update(world: &mut World, now: Timestamp, update: PeerUpdate, effects: &mut Vec<Effect>) {
-    let to = world.peers.iter().map(|(_, peer)| peer.address).collect();
-    send_to(world, now, to, update, effects);
-}
-
-fn send_to(
-    world: &mut World,
-    now: Timestamp,
-    to: Vec<SocketAddr>,
-    update: PeerUpdate,
-    effects: &mut Vec<Effect>,
-) {
-    if to.is_empty() {
-        return;
-    }
-    world.sequence += 1;
-    let message = PeerMessage {
-        node: world.settings.node.clone(),
-        incarnation: world.incarnation,
-        sequence: world.sequence,
-        version: world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default().0,
-        feed: feeds::own_report(world, now),
-        update,
-    };
-    effects.push(Effect::NotifyPeers { to, message: Box::new(message) });
-}
-
-fn own_work_reports(world: &World, now: Timestamp) -> Vec<WorkReport> {
-    let own = world.work.iter().filter(|(_, work)| matches!(work.owner, WorkOwner::Own(_)));
-    let report = |(key, work): (WorkKey, &Work)| {
-        let row = world.backend_servers.rows.get(work.backend_server)?;
-        let age_ms = now.since(work.dispatched).as_millis().min(u128::from(u32::MAX)) as u32;
-        let id = work_id(key);
-        let instance_hash = row.listing.instance_hash;
-        Some(WorkReport { id, instance_hash, demand: work.demand, phase: work.phase, age_ms })
-    };
-    own.filter_map(report).collect()
-}
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -7,6 +7,7 @@
 use crate::gateway::systems::expiry;
 use crate::gateway::systems::feeds;
 use crate::gateway::systems::membership;
+use crate::gateway::systems::notifications;
 use crate::gateway::systems::peers;
 use crate::gateway::systems::placing;
 use crate::gateway::systems::process;
@@ -29,7 +30,7 @@
     let mut effects = Vec::new();
     let list_at = membership::run(world, now, events, &mut effects);
     serving::run(world, now, events, &mut effects);
-    peers::receive(world, now, events, &mut effects);
+    peers::run(world, now, events, &mut effects);
     let follow_at = feeds::run(world, now, &mut effects);
     let refuse_at = arrivals::run(world, now, events, &mut effects);
     attempts::run(world, now, events, &mut effects);
@@ -37,7 +38,7 @@
     let place_at = placing::run(world, now, &mut effects);
     let span_at = spans::run(world, now, events, &mut effects);
     let stop_at = process::run(world, now, events, &mut effects);
-    let notify_at = peers::notify(world, now, &mut effects);
+    let notify_at = notifications::run(world, now, &mut effects);
     let due =
         [list_at, follow_at, refuse_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
     let wake_at = due.into_iter().flatten().min();
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -12,7 +12,7 @@
 use snipespan_core::gateway::event::Listing;
 use snipespan_core::gateway::event::ListingChange;
 use snipespan_core::gateway::event::ListingsUpdate;
-use snipespan_core::gateway::event::StoreVersion as EventVersion;
+use snipespan_core::gateway::event::StoreVersion;
 use snipespan_platform_adapter::error::CallError;
 use snipespan_platform_adapter::listing;
 use snipespan_platform_adapter::paths::CONFIGURATION_KEY;
@@ -22,7 +22,6 @@
 use snipespan_platform_adapter::store::FeedUpdate;
 use snipespan_platform_adapter::store::Row;
 use snipespan_platform_adapter::store::StoreClient;
-use snipespan_platform_adapter::store::StoreVersion;
 use snipespan_platform_adapter::store::VersionedRows;
 use snipespan_settings::gateway::GatewayRole;
 use tokio::sync::watch;
@@ -186,7 +185,7 @@
                 }
                 FeedUpdate::HistoryGone => {
                     log::info!(
-                        table = self.table.name(), version;
+                        table = self.table.name(), version = version.0;
                         "the store no longer has the changes since this version; reading the table"
                     );
                     return Ok(());
@@ -231,7 +230,7 @@
             }
         }
         match self.table {
-            Table::Listings => version.max(self.plan.borrow().listings_version.0),
+            Table::Listings => version.max(self.plan.borrow().listings_version),
             Table::Operator | Table::Gateways => version,
         }
     }
@@ -260,7 +259,6 @@
         match self.table {
             Table::Operator => self.apply_configuration(&rows).await,
             Table::Listings => {
-                let version = EventVersion(version);
                 let listings = rows.iter().filter_map(decode_listing).collect();
                 self.send(Event::ListingsRead { version, listings }).await;
             }
@@ -276,7 +274,6 @@
             Table::Operator => self.apply_configuration(&rows).await,
             Table::Listings => {
                 let changes = rows.into_iter().map(listing_change).collect();
-                let (after, version) = (EventVersion(after), EventVersion(version));
                 let update = ListingsUpdate { after, version, changes };
                 self.send(Event::ListingsChanged(update)).await;
             }
