--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -183,9 +182,7 @@
 }
 
 /// Version of the platform's store, which rises with each transaction.
-#[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StoreVersion(pub u64);
 
 /// A change of one backend server's listing.
--- a/crates/snipespan_core/src/gateway/systems/arrivals.rs
+++ b/crates/snipespan_core/src/gateway/systems/arrivals.rs
@@ -50,7 +50,7 @@
     events: &[Event],
     effects: &mut Vec<Effect>,
 ) -> Option<Timestamp> {
-    let mut may_be_ready = world.stop.requested.is_some();
+    let mut is_for_all = world.stop.requested.is_some();
     for event in events {
         match event {
             Event::Arrival(arrival) => {
@@ -60,11 +60,11 @@
             Event::CallerDisconnected { request } => {
                 ending::finish_request(world, now, *request, ResultCode::CallerGone, effects);
             }
-            Event::ServingReceived { .. } => may_be_ready = true,
+            Event::ServingReceived { .. } => is_for_all = true,
             _ => {}
         }
     }
-    retry_unrouted(world, now, may_be_ready, effects)
+    retry_unrouted(world, now, is_for_all, effects)
 }
 
 /// Handles the requests that wait for a configuration again, those whose wait is over or all;
@@ -94,42 +94,66 @@
 
 fn handle_arrival(world: &mut World, now: Timestamp, arrival: &Arrival, effects: &mut Vec<Effect>) {
     match admit_request(world, now, arrival) {
-        Err(ResultCode::NotReady)
-            if world.serving.is_none()
-                && now < wait_end(arrival)
-                && world.stop.requested.is_none()
-                && world.unrouted.insert(arrival.clone()).is_ok() => {}
         Ok(request) => {
             let row = world.requests.get(request);
             let is_streaming = row.is_some_and(|row| row.kind.is_streaming());
             effects.push(Effect::Admitted { caller: arrival.caller, request, is_streaming });
             world.schedule_placement(request, now);
         }
-        Err(code) => {
-            world.counters.not_run += 1;
-            effects.push(Effect::LogDecision(Box::new(Decision::Rejected {
-                id: arrival.id.clone(),
-                target: format_compact!("{}{}", arrival.host, arrival.path),
-                code,
-                version: world
-                    .serving
-                    .as_ref()
-                    .map(ServingConfiguration::version)
-                    .unwrap_or_default(),
-                store_age: world.store.last_answer.map(|answered| now.since(answered)),
-            })));
-            let waited = now.since(arrival.received);
-            let remaining = arrival.time_limit.unwrap_or(Duration::MAX).saturating_sub(waited);
-            let retry_after = match code {
-                ResultCode::NotReady => Some(ending::retry_after(code, remaining)),
-                _ => code.row().retry.delay(),
-            };
-            effects.push(Effect::Refuse { caller: arrival.caller, code, retry_after });
-            effects.push(Effect::CloseRequest { caller: arrival.caller });
+        Err(ResultCode::NotReady) if may_wait_for_configuration(world, now, arrival) => {
+            wait_for_configuration(world, now, arrival, effects);
         }
+        Err(code) => reject_arrival(world, now, arrival, code, effects),
     }
 }
 
+fn may_wait_for_configuration(world: &World, now: Timestamp, arrival: &Arrival) -> bool {
+    world.serving.is_none()
+        && world.stop.requested.is_none()
+        && !world.unrouted.is_full()
+        && now < wait_end(arrival)
+}
+
+fn wait_for_configuration(
+    world: &mut World,
+    now: Timestamp,
+    arrival: &Arrival,
+    effects: &mut Vec<Effect>,
+) {
+    // The table has room, as its caller has checked.
+    if world.unrouted.insert(arrival.clone()).is_ok() {
+        let id = arrival.id.clone();
+        let (code, pause) = (ResultCode::NotReady, wait_end(arrival).since(now));
+        effects.push(Effect::LogDecision(Box::new(Decision::Held { id, code, pause })));
+    }
+}
+
+fn reject_arrival(
+    world: &mut World,
+    now: Timestamp,
+    arrival: &Arrival,
+    code: ResultCode,
+    effects: &mut Vec<Effect>,
+) {
+    world.counters.not_run += 1;
+    let version = world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default();
+    effects.push(Effect::LogDecision(Box::new(Decision::Rejected {
+        id: arrival.id.clone(),
+        target: format_compact!("{}{}", arrival.host, arrival.path),
+        code,
+        version,
+        store_age: world.store.last_answer.map(|answered| now.since(answered)),
+    })));
+    let waited = now.since(arrival.received);
+    let remaining = arrival.time_limit.unwrap_or(Duration::MAX).saturating_sub(waited);
+    let retry_after = match code {
+        ResultCode::NotReady => Some(ending::retry_after(code, remaining)),
+        _ => code.row().retry.delay(),
+    };
+    effects.push(Effect::Refuse { caller: arrival.caller, code, retry_after });
+    effects.push(Effect::CloseRequest { caller: arrival.caller });
+}
+
 fn admit_request(
     world: &mut World,
     now: Timestamp,
--- a/crates/snipespan_core/src/gateway/systems/feeds.rs
+++ b/crates/snipespan_core/src/gateway/systems/feeds.rs
@@ -62,7 +62,8 @@
     true
 }
 
-/// Records changes that a peer relayed; returns whether they continue the copy.
+/// Records changes that a peer relayed; returns whether they continue the copy, which has version 0
+/// until the list was first read.
 pub fn record_relayed(world: &mut World, update: &ListingsUpdate) -> bool {
     world.listings.version > StoreVersion::default() && advance(world, update)
 }
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -70,8 +70,9 @@
             None => {
                 // While the table is full, a new peer is skipped; this gateway then does not count
                 // its work, like that of a client that sends to backend servers directly.
-                let _ = insert_peer(world, *address, true);
-                world.new_peers.push(*address);
+                if insert_peer(world, *address, true).is_some() {
+                    world.new_peers.push(*address);
+                }
             }
         }
     }
--- a/crates/snipespan_core/tests/gateway/arrivals.rs
+++ b/crates/snipespan_core/tests/gateway/arrivals.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::result_code::ResultCode;
@@ -98,6 +99,11 @@
 fn request_without_a_configuration_is_sent_once_there_is_one() {
     let mut kit = Kit::unconfigured();
     kit.arrive("/draft/1", 5_000);
+    let held = |effect: &Effect| {
+        matches!(effect, Effect::LogDecision(decision)
+            if matches!(**decision, Decision::Held { code: ResultCode::NotReady, .. }))
+    };
+    assert!(kit.effects.iter().any(held), "the wait is logged");
     kit.run_until(kit.now.after(Duration::from_millis(1400)));
     assert!(kit.refused().is_empty());
     let serving = Box::new(kit::serving(1));
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! Datagrams between gateways, and the HTTP server for peers and for readers of metrics.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::UdpSocket as StdUdpSocket;
 use std::sync::Arc;
@@ -111,15 +112,10 @@
 async fn receive_datagrams(datagrams: UdpSocket, cx: Arc<GatewayContext>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let received = match datagrams.recv_from(&mut buf).await {
-            Ok(received) => Some(received),
-            Err(e) => {
-                log_receive_error(&e);
-                None
-            }
-        };
-        let mut next = received;
-        while let Some((length, from)) = next {
+        if let Err(e) = datagrams.readable().await {
+            log::debug!("could not wait for a datagram from a peer: {e}");
+        }
+        while let Some((length, from)) = receive_datagram(&datagrams, &mut buf) {
             match postcard::from_bytes::<PeerMessage>(&buf[..length]) {
                 Ok(message) => {
                     let event = Event::PeerMessageReceived { from, message };
@@ -129,23 +125,22 @@
                 }
                 Err(e) => log::warn!(peer:% = from; "could not decode a datagram from a peer: {e}"),
             }
-            next = match datagrams.try_recv_from(&mut buf) {
-                Ok(received) => Some(received),
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => None,
-                Err(e) => {
-                    log_receive_error(&e);
-                    None
-                }
-            };
         }
         tokio::time::sleep(RECEIVE_PAUSE).await;
     }
 }
 
-/// Logs that no datagram could be received. The peer of an earlier datagram was not listening; the
-/// socket itself is usable.
-fn log_receive_error(e: &std::io::Error) {
-    log::debug!("could not receive a datagram from a peer: {e}");
+/// Returns the length and sender of a datagram that has arrived, or `None` if there is none.
+fn receive_datagram(datagrams: &UdpSocket, buf: &mut [u8]) -> Option<(usize, SocketAddr)> {
+    match datagrams.try_recv_from(buf) {
+        Ok(received) => Some(received),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+        Err(e) => {
+            // The peer of an earlier datagram was not listening; the socket itself is usable.
+            log::debug!("could not receive a datagram from a peer: {e}");
+            None
+        }
+    }
 }
 
 /// Sends datagrams to peers without blocking.
