Log why a request is not sent again, and what is left of a stalled one

The logs said that an attempt was refused, failed or stalled, and that its request ended, but not why no other attempt followed: over the retry budget, too near its deadline, or out of attempts. A counter of retries over the budget has no ids. One line says it now, with the time that is left and whether the client has a part of the answer; `attempt stalled` says the latter two as well.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use derive_more::Display;
 
 use crate::gateway::event::FailReason;
 use crate::gateway::event::NotRunReason;
@@ -10,6 +11,21 @@
 use crate::gateway::systems::deferral::Deferral;
 use crate::result_code::ResultCode;
 
+/// Why a request is not sent to another backend server.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RetryObstacle {
+    /// It may not run again: it is not idempotent, or has run on the maximum number of backend
+    /// servers.
+    #[display("attempts")]
+    Attempts,
+    /// Its deadline is too near.
+    #[display("deadline")]
+    Deadline,
+    /// The retry budget of its service is used up.
+    #[display("budget")]
+    Budget,
+}
+
 /// A decision on a request, or a change in the gateway's view of the system.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -105,6 +121,22 @@
         silence: Duration,
         /// Maximum silence allowed.
         limit: Duration,
+        /// Time until the deadline of the request.
+        remaining: Duration,
+        /// Whether the client has received a part of the answer.
+        has_begun: bool,
+    },
+    /// A request is not sent to another backend server although its attempt was refused or failed,
+    /// which ends it.
+    NotRetried {
+        /// The request.
+        id: CompactString,
+        /// Why it is not sent again.
+        obstacle: RetryObstacle,
+        /// Time until the deadline of the request.
+        remaining: Duration,
+        /// Whether the client has received a part of the answer, which is cut then.
+        has_begun: bool,
     },
     /// A request has its final answer.
     Ended {
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::gateway::decision::Decision;
+use crate::gateway::decision::RetryObstacle;
 use crate::gateway::effect::Effect;
 use crate::gateway::event::Event;
 use crate::gateway::event::FailReason;
@@ -173,10 +174,29 @@
     row.last_code = Some(code);
     match row.may_repeat_after(row.runs) {
         true => retry_request(world, now, request, true, effects),
-        false => ending::end_with_code(world, now, request, code, effects),
+        false => end_without_retry(world, now, request, RetryObstacle::Attempts, effects),
     }
 }
 
+/// Ends a request whose last attempt was refused or failed, and logs why no other follows.
+fn end_without_retry(
+    world: &mut World,
+    now: Timestamp,
+    request: RequestKey,
+    obstacle: RetryObstacle,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(row) = world.requests.get(request) else { return };
+    let code = row.last_code.unwrap_or(ResultCode::NoBackendServer);
+    effects.push(Effect::LogDecision(Box::new(Decision::NotRetried {
+        id: row.id.clone(),
+        obstacle,
+        remaining: row.deadline.since(now),
+        has_begun: row.first_byte.is_some(),
+    })));
+    ending::end_with_code(world, now, request, code, effects);
+}
+
 /// Removes an attempt from its backend server, which the request avoids from then on; returns the
 /// request and the removed work.
 pub fn withdraw_attempt(
@@ -205,16 +225,15 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some(row) = world.requests.get(request) else { return };
-    let code = row.last_code.unwrap_or(ResultCode::NoBackendServer);
     let service = row.service.clone();
     if row.deadline.since(now) < MIN_RETRY_TIME {
-        ending::end_with_code(world, now, request, code, effects);
+        end_without_retry(world, now, request, RetryObstacle::Deadline, effects);
         return;
     }
     let allowance = world.retry_allowance();
     if is_counted && !world.retry_budgets.try_consume_retry(&service, now, allowance) {
         world.counters.retries_over_budget += 1;
-        ending::end_with_code(world, now, request, code, effects);
+        end_without_retry(world, now, request, RetryObstacle::Budget, effects);
         return;
     }
     world.schedule_placement(request, now);
--- a/crates/snipespan_core/src/gateway/systems/expiry.rs
+++ b/crates/snipespan_core/src/gateway/systems/expiry.rs
@@ -174,10 +174,12 @@
     effects.push(Effect::DropAttempt { caller: row.caller });
     let id = row.id.clone();
     let silence = now.since(row.last_event);
+    let (remaining, has_begun) = (row.deadline.since(now), row.first_byte.is_some());
     health::record_failure(world, now, work.backend_server, false, effects);
     if let Some(row) = world.backend_servers.rows.get(work.backend_server) {
         let backend_server = row.listing.id.clone();
-        let decision = Decision::Stalled { id, backend_server, silence, limit };
+        let decision =
+            Decision::Stalled { id, backend_server, silence, limit, remaining, has_begun };
         effects.push(Effect::LogDecision(Box::new(decision)));
     }
     attempts::retry_if_repeatable(world, now, request, ResultCode::AnswerCut, effects);
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -59,9 +59,16 @@
                 reason:? = reason, after_ms = ms(*after), failures; "attempt failed"
             );
         }
-        Decision::Stalled { id, backend_server, silence, limit } => log::info!(
-            request = id.as_str(), backend_server = backend_server.as_str(),
-            silence_ms = ms(*silence), limit_ms = ms(*limit); "attempt stalled"
+        Decision::Stalled { id, backend_server, silence, limit, remaining, has_begun } => {
+            log::info!(
+                request = id.as_str(), backend_server = backend_server.as_str(),
+                silence_ms = ms(*silence), limit_ms = ms(*limit), remaining_ms = ms(*remaining),
+                has_begun; "attempt stalled"
+            );
+        }
+        Decision::NotRetried { id, obstacle, remaining, has_begun } => log::info!(
+            request = id.as_str(), obstacle:%, remaining_ms = ms(*remaining), has_begun;
+            "not retried"
         ),
         Decision::Ended {
             id,
@@ -131,6 +138,7 @@
         | Decision::NotRun { .. }
         | Decision::Failed { .. }
         | Decision::Stalled { .. }
+        | Decision::NotRetried { .. }
         | Decision::Ended { .. } => {}
     }
 }
