Move a silent stream only once its successor is allowed

Cause: an attempt that was silent for its limit was withdrawn first, and the retry budget asked afterwards. Over the budget the request had no attempt any more and was ended. Many streams of one engine fall silent together, so one pause used the budget up and cut the rest. Class of fault: what is in hand is given up before its replacement is secured.

A quarter of the budget is kept for streams of which the client has a part, since a stream that was moved and refused was cut for the budget too. The sum of retries stays below the same limit as before.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -24,6 +24,9 @@
     /// The retry budget of its service is used up.
     #[display("budget")]
     Budget,
+    /// No other backend server is expected to do better.
+    #[display("none better")]
+    NoneBetter,
 }
 
 /// A decision on a request, or a change in the gateway's view of the system.
@@ -126,6 +129,17 @@
         /// Whether the client has received a part of the answer.
         has_begun: bool,
     },
+    /// An attempt without progress stays where it is; logged once for each silence.
+    KeptSilent {
+        /// The request.
+        id: CompactString,
+        /// The backend server.
+        backend_server: CompactString,
+        /// Time since its last progress.
+        silence: Duration,
+        /// Why it is not moved.
+        obstacle: RetryObstacle,
+    },
     /// A request is not sent to another backend server although its attempt was refused or failed,
     /// which ends it.
     NotRetried {
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -11,6 +11,7 @@
 use crate::gateway::systems::ending;
 use crate::gateway::systems::health;
 use crate::gateway::systems::spans;
+use crate::gateway::tables::retry_budgets::RetryUse;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Work;
 use crate::gateway::tables::work::WorkOwner;
@@ -162,7 +163,7 @@
 
 /// Sends a request again after an attempt that may have run, or ends it with `code` if it may not
 /// be repeated.
-pub fn retry_if_repeatable(
+fn retry_if_repeatable(
     world: &mut World,
     now: Timestamp,
     request: RequestKey,
@@ -170,8 +171,7 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some(row) = world.requests.get_mut(request) else { return };
-    row.runs += 1;
-    row.last_code = Some(code);
+    row.record_run(code);
     match row.may_repeat_after(row.runs) {
         true => retry_request(world, now, request, true, effects),
         false => end_without_retry(world, now, request, RetryObstacle::Attempts, effects),
@@ -224,17 +224,39 @@
     is_counted: bool,
     effects: &mut Vec<Effect>,
 ) {
-    let Some(row) = world.requests.get(request) else { return };
-    let service = row.service.clone();
+    match claim_retry(world, now, request, is_counted) {
+        Ok(()) => world.schedule_placement(request, now),
+        Err(obstacle) => {
+            if obstacle == RetryObstacle::Budget {
+                world.counters.retries_over_budget += 1;
+            }
+            end_without_retry(world, now, request, obstacle, effects);
+        }
+    }
+}
+
+/// Takes a retry of a request from the budget of its service, unless `is_counted` is false.
+///
+/// # Errors
+/// [`RetryObstacle::Deadline`] if too little time is left, and [`RetryObstacle::Budget`] if the
+/// budget is used up; nothing is taken then.
+pub fn claim_retry(
+    world: &mut World,
+    now: Timestamp,
+    request: RequestKey,
+    is_counted: bool,
+) -> Result<(), RetryObstacle> {
+    let Some(row) = world.requests.get(request) else { return Ok(()) };
     if row.deadline.since(now) < MIN_RETRY_TIME {
-        end_without_retry(world, now, request, RetryObstacle::Deadline, effects);
-        return;
+        return Err(RetryObstacle::Deadline);
     }
+    let retry_use = match row.first_byte {
+        Some(_) => RetryUse::Continuation,
+        None => RetryUse::Fresh,
+    };
+    let service = row.service.clone();
     let allowance = world.retry_allowance();
-    if is_counted && !world.retry_budgets.try_consume_retry(&service, now, allowance) {
-        world.counters.retries_over_budget += 1;
-        end_without_retry(world, now, request, RetryObstacle::Budget, effects);
-        return;
-    }
-    world.schedule_placement(request, now);
+    let is_allowed =
+        !is_counted || world.retry_budgets.try_consume_retry(&service, now, allowance, retry_use);
+    if is_allowed { Ok(()) } else { Err(RetryObstacle::Budget) }
 }
--- a/crates/snipespan_core/src/gateway/systems/expiry.rs
+++ b/crates/snipespan_core/src/gateway/systems/expiry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::gateway::decision::Decision;
+use crate::gateway::decision::RetryObstacle;
 use crate::gateway::effect::Effect;
 use crate::gateway::systems::attempts;
 use crate::gateway::systems::ending;
@@ -59,7 +60,8 @@
     ending::end_with_code(world, now, key, code, effects);
 }
 
-/// Withdraws attempts without progress that may be repeated; returns when the next one is due.
+/// Moves attempts without progress that may be repeated, as far as their retries are allowed;
+/// returns when the next one is due.
 fn withdraw_stalled(
     world: &mut World,
     now: Timestamp,
@@ -77,11 +79,10 @@
         }
     }
     for (key, limit) in stalled {
-        match is_better_elsewhere(world, now, key) {
-            true => withdraw_stalled_attempt(world, now, key, limit, effects),
-            false => {
-                // While all engines are full, moving a request would only add its load a second
-                // time.
+        match claim_move(world, now, key) {
+            Ok(()) => withdraw_stalled_attempt(world, now, key, limit, effects),
+            Err(obstacle) => {
+                log_kept(world, now, key, limit, obstacle, effects);
                 next = Some(now.after(STALL_RECHECK).or_sooner(next));
             }
         }
@@ -89,6 +90,39 @@
     next
 }
 
+/// Takes a retry for a silent attempt. The attempt is given up only once its successor is allowed:
+/// its backend server may go on, and a request without an attempt cannot be answered.
+fn claim_move(world: &mut World, now: Timestamp, key: WorkKey) -> Result<(), RetryObstacle> {
+    // While all engines are full, moving a request would only add its load a second time.
+    if !is_better_elsewhere(world, now, key) {
+        return Err(RetryObstacle::NoneBetter);
+    }
+    let request = attempts::request_of(world, key).ok_or(RetryObstacle::NoneBetter)?;
+    attempts::claim_retry(world, now, request, true)
+}
+
+/// Logs that a silent attempt stays where it is, at the first of the checks of its silence.
+fn log_kept(
+    world: &World,
+    now: Timestamp,
+    key: WorkKey,
+    limit: Duration,
+    obstacle: RetryObstacle,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = attempts::request_of(world, key) else { return };
+    let Some(row) = world.requests.get(request) else { return };
+    let Some(work) = world.work.get(key) else { return };
+    let Some(server) = world.backend_servers.rows.get(work.backend_server) else { return };
+    let silence = now.since(row.last_event);
+    if silence >= limit + STALL_RECHECK {
+        return;
+    }
+    let (id, backend_server) = (row.id.clone(), server.listing.id.clone());
+    let decision = Decision::KeptSilent { id, backend_server, silence, obstacle };
+    effects.push(Effect::LogDecision(Box::new(decision)));
+}
+
 /// Returns whether a silent attempt is expected to do better at other backend servers.
 fn is_better_elsewhere(world: &World, now: Timestamp, key: WorkKey) -> bool {
     let Some(work) = world.work.get(key) else { return false };
@@ -182,5 +216,8 @@
             Decision::Stalled { id, backend_server, silence, limit, remaining, has_begun };
         effects.push(Effect::LogDecision(Box::new(decision)));
     }
-    attempts::retry_if_repeatable(world, now, request, ResultCode::AnswerCut, effects);
+    if let Some(row) = world.requests.get_mut(request) {
+        row.record_run(ResultCode::AnswerCut);
+    }
+    world.schedule_placement(request, now);
 }
--- a/crates/snipespan_core/src/gateway/tables/requests.rs
+++ b/crates/snipespan_core/src/gateway/tables/requests.rs
@@ -193,6 +193,12 @@
         self.kind.is_idempotent() && runs < self.max_attempts
     }
 
+    /// Records that an attempt ended without a complete answer, and may have run.
+    pub const fn record_run(&mut self, code: ResultCode) {
+        self.runs += 1;
+        self.last_code = Some(code);
+    }
+
     /// Returns whether its placement has not been postponed yet.
     pub fn is_first_placement(&self) -> bool {
         self.place_at == self.arrived
--- a/crates/snipespan_core/src/gateway/tables/retry_budgets.rs
+++ b/crates/snipespan_core/src/gateway/tables/retry_budgets.rs
@@ -14,6 +14,20 @@
 /// and changes in the number of gateways.
 const SAFETY_SHARE: f64 = 0.7;
 
+/// Share of the allowed retries that is kept for continuations of streams. A client loses the part
+/// of an answer that it has if no other backend server goes on with it, while any other client is
+/// refused and may come back.
+const CONTINUATION_SHARE: f64 = 0.25;
+
+/// What a retry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryUse {
+    /// A request of whose answer the client has nothing.
+    Fresh,
+    /// A stream of which the client has received a part.
+    Continuation,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     start: Timestamp,
@@ -59,6 +73,7 @@
         service: &str,
         now: Timestamp,
         allow: RetryAllowance,
+        retry_use: RetryUse,
     ) -> bool {
         self.current_bucket_mut(service, now, allow.window);
         let Some(row) = self.rows.iter_mut().find(|row| row.service == service) else {
@@ -67,7 +82,11 @@
         let requests: u32 = row.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = row.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack = allow.slack / allow.gateways.max(1) as f64;
-        let allowed = SAFETY_SHARE * (allow.ratio * f64::from(requests) + slack);
+        let share = match retry_use {
+            RetryUse::Fresh => SAFETY_SHARE * (1.0 - CONTINUATION_SHARE),
+            RetryUse::Continuation => SAFETY_SHARE,
+        };
+        let allowed = share * (allow.ratio * f64::from(requests) + slack);
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
--- a/crates/snipespan_core/tests/gateway/retry_budgets.rs
+++ b/crates/snipespan_core/tests/gateway/retry_budgets.rs
@@ -2,6 +2,7 @@
 
 use snipespan_core::gateway::tables::retry_budgets::RetryAllowance;
 use snipespan_core::gateway::tables::retry_budgets::RetryBudgets;
+use snipespan_core::gateway::tables::retry_budgets::RetryUse;
 use snipespan_core::time::Timestamp;
 
 const ALLOWANCE: RetryAllowance =
@@ -17,21 +18,36 @@
 fn try_consume_retry_within_the_share_of_this_gateway() {
     let mut budgets = RetryBudgets::default();
     (0..100).for_each(|_| budgets.record_request("llm", at(1), ALLOWANCE.window));
-    let allowed = (0..1000).filter(|_| budgets.try_consume_retry("llm", at(2), ALLOWANCE)).count();
+    let allowed = (0..1000)
+        .filter(|_| budgets.try_consume_retry("llm", at(2), ALLOWANCE, RetryUse::Fresh))
+        .count();
     assert!((20..=45).contains(&allowed), "{allowed}");
 }
 
 #[test]
 fn try_consume_retry_again_after_the_window() {
     let mut budgets = RetryBudgets::default();
-    while budgets.try_consume_retry("llm", at(1), ALLOWANCE) {}
-    assert!(!budgets.try_consume_retry("llm", at(9_000), ALLOWANCE));
-    assert!(budgets.try_consume_retry("llm", at(10_100), ALLOWANCE));
+    while budgets.try_consume_retry("llm", at(1), ALLOWANCE, RetryUse::Fresh) {}
+    assert!(!budgets.try_consume_retry("llm", at(9_000), ALLOWANCE, RetryUse::Fresh));
+    assert!(budgets.try_consume_retry("llm", at(10_100), ALLOWANCE, RetryUse::Fresh));
 }
 
 #[test]
 fn try_consume_retry_counts_services_separately() {
     let mut budgets = RetryBudgets::default();
-    while budgets.try_consume_retry("llm", at(1), ALLOWANCE) {}
-    assert!(budgets.try_consume_retry("orders", at(1), ALLOWANCE));
+    while budgets.try_consume_retry("llm", at(1), ALLOWANCE, RetryUse::Fresh) {}
+    assert!(budgets.try_consume_retry("orders", at(1), ALLOWANCE, RetryUse::Fresh));
+}
+
+/// Guards against streams that are cut because other requests have used the whole budget, and
+/// against a reserve beyond the budget: 0.7 of the slack of 100, a quarter of it here.
+#[test]
+fn try_consume_retry_keeps_a_reserve_for_continuations() {
+    let mut budgets = RetryBudgets::default();
+    let mut count = |retry_use| {
+        (0..100).filter(|_| budgets.try_consume_retry("llm", at(1), ALLOWANCE, retry_use)).count()
+    };
+    assert_eq!(count(RetryUse::Fresh), 13);
+    assert_eq!(count(RetryUse::Continuation), 4);
+    assert_eq!(count(RetryUse::Fresh), 0);
 }
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -66,6 +66,10 @@
                 has_begun; "attempt stalled"
             );
         }
+        Decision::KeptSilent { id, backend_server, silence, obstacle } => log::info!(
+            request = id.as_str(), backend_server = backend_server.as_str(),
+            silence_ms = ms(*silence), obstacle:%; "silent attempt kept"
+        ),
         Decision::NotRetried { id, obstacle, remaining, has_begun } => log::info!(
             request = id.as_str(), obstacle:%, remaining_ms = ms(*remaining), has_begun;
             "not retried"
@@ -138,6 +142,7 @@
         | Decision::NotRun { .. }
         | Decision::Failed { .. }
         | Decision::Stalled { .. }
+        | Decision::KeptSilent { .. }
         | Decision::NotRetried { .. }
         | Decision::Ended { .. } => {}
     }
