Keep streams where they are after a pause of their own gateway

Callers saw streams of sound backend servers moved, or cut over the retry budget, right after their gateway had been suspended or short of processor time for longer than a stream's limit of silence.

Cause: the control thread ran before the traffic thread had read what arrived during the pause, and took its own absence for the silence of the backend servers. Class of fault: a process judges others by a time in which it did not look.

Fix: a tick that is over 200 ms late means that the process was paused; for 250 ms after it no attempt is moved for silence and no peer is removed. A server that stays silent is moved after that as before. One log line a pause.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -240,6 +240,11 @@
         /// Whether any setting differs.
         is_changed: bool,
     },
+    /// This process was paused: a tick ran later than planned.
+    PauseNoticed {
+        /// How much later.
+        delay: Duration,
+    },
     /// A planned stop began.
     StopBegan {
         /// Number of open requests.
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -10,6 +10,7 @@
 pub mod helpers;
 pub mod membership;
 pub mod notifications;
+pub mod pauses;
 pub mod peers;
 pub mod placing;
 pub mod prediction;
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -52,7 +52,7 @@
             _ => {}
         }
     }
-    if now >= world.peers_sweep_due {
+    if now >= world.peers_sweep_due.max(world.caught_up_at) {
         world.peers_sweep_due = now.after(SWEEP_INTERVAL);
         expire_peers(world, now, effects);
         expire_unconfirmed_work(world, now);
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -8,6 +8,7 @@
 use crate::gateway::systems::feeds;
 use crate::gateway::systems::membership;
 use crate::gateway::systems::notifications;
+use crate::gateway::systems::pauses;
 use crate::gateway::systems::peers;
 use crate::gateway::systems::placing;
 use crate::gateway::systems::process;
@@ -28,6 +29,7 @@
 /// Handles `events` and runs every system once, in a fixed order.
 pub fn tick(world: &mut World, now: Timestamp, events: &[Event]) -> Tick {
     let mut effects = Vec::new();
+    pauses::run(world, now, &mut effects);
     let list_at = membership::run(world, now, events, &mut effects);
     serving::run(world, now, events, &mut effects);
     peers::run(world, now, events, &mut effects);
@@ -42,5 +44,6 @@
     let due =
         [list_at, follow_at, refuse_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
     let wake_at = due.into_iter().flatten().min();
+    world.wake_planned = wake_at;
     Tick { effects, wake_at }
 }
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -123,6 +123,11 @@
     pub is_ready: bool,
     /// Progress of a planned stop.
     pub stop: StopProgress,
+    /// When the next tick is due without an event, as of the last tick.
+    pub wake_planned: Option<Timestamp>,
+    /// When what arrived during the last pause of this process has been read; until then the
+    /// silence of others shows nothing.
+    pub caught_up_at: Timestamp,
     /// Serving configuration in force; `None` until one is received.
     pub serving: Option<ServingConfiguration>,
     /// State of the connection to the store.
@@ -176,6 +181,8 @@
             incarnation,
             is_ready: false,
             stop: StopProgress::default(),
+            wake_planned: None,
+            caught_up_at: Timestamp::ZERO,
             serving: None,
             store: StoreLink::default(),
             listings: ListingsCopy::default(),
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -133,6 +133,9 @@
             log::info!(request = id.as_str(), step, engines; "span");
         }
         Decision::SettingsReloaded { is_changed } => log::info!(is_changed; "settings reloaded"),
+        Decision::PauseNoticed { delay } => {
+            log::warn!(delay_ms = ms(*delay); "the process was paused");
+        }
         Decision::StopBegan { open } => log::info!(open; "planned stop began"),
         // `log_decision` writes these.
         Decision::Rejected { .. }
--- a/crates/snipespand/tests/gateway/answers.rs
+++ b/crates/snipespand/tests/gateway/answers.rs
@@ -4,14 +4,19 @@
 use std::time::Instant;
 
 use hyper::Method;
+use nix::sys::signal::Signal;
 use rstest::rstest;
+use snipespan_fakes::users_platform::replica::FakeReplica;
+use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
 use snipespan_fakes::users_platform::replica::plain_body;
 use snipespan_fakes::users_platform::replica::stream_event;
 use snipespan_platform_adapter::connection::Connection;
 
+use crate::harness::ENGINE;
 use crate::harness::TestPlatform;
 use crate::harness::WAIT_TIMEOUT;
+use crate::harness::replica_config;
 use crate::harness::request;
 use crate::harness::wait_until;
 
@@ -138,3 +143,31 @@
     let took = began.elapsed();
     assert!((Duration::from_millis(400)..Duration::from_millis(900)).contains(&took), "{took:?}");
 }
+
+/// Guards against streams that are moved, or cut over the retry budget, because their own gateway
+/// was paused: what arrived meanwhile waits at its sockets. The stall limit is 4.8 s.
+#[tokio::test]
+async fn stream_through_a_paused_gateway_stays_where_it_is() {
+    let mut platform = TestPlatform::start(0).await;
+    for number in 0..2 {
+        let config = replica_config(ENGINE, number);
+        let config = ReplicaConfig { events: 20, pause: Duration::from_millis(100), ..config };
+        let engine = FakeReplica::start(config, None).await.expect("it starts");
+        platform.set_state(&engine, "ready");
+        platform.engines.push(engine);
+    }
+    let gateway = platform.gateway("gateway-1").await;
+    let fields = [("token-count", "1000,258")];
+    let pause = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        gateway.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(5200)).await;
+        gateway.signal(Signal::SIGCONT);
+    };
+    let call = gateway.call_with(Method::POST, "/stream/1", "request-1", &fields);
+    let (answer, ()) = tokio::join!(call, pause);
+    assert!(answer.is_complete);
+    assert_eq!(gateway.log_lines("attempt stalled", None).len(), 0);
+    let runs: usize = platform.engines.iter().map(|engine| engine.runs().len()).sum();
+    assert_eq!(runs, 1);
+}
