Log how far an answer had come when its attempt failed

A connection that breaks as the answer begins could not be told from one that breaks in the middle of a stream, or before the head: the log said Broken for all three. The lines of 'attempt failed' now say whether the head had arrived, how many reads completed events, and how long ago the first one came. A stream that ends inside an event, or without any, is reported as broken off rather than corrupt; both end with 502.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use crate::gateway::event::AnswerStage;
 use crate::gateway::event::FailReason;
 use crate::gateway::event::NotRunReason;
 use crate::gateway::serving::ServingVersion;
@@ -90,6 +91,8 @@
         backend_server: CompactString,
         /// Why it failed.
         reason: FailReason,
+        /// How far the answer had come.
+        stage: AnswerStage,
         /// Time since the dispatch.
         after: Duration,
         /// Failures of the backend server since its last success.
--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -58,6 +58,8 @@
         work: WorkKey,
         /// Why it failed.
         reason: FailReason,
+        /// How far the answer had come.
+        stage: AnswerStage,
     },
     /// A serving configuration was read from the store or from a peer.
     ServingReceived {
@@ -159,6 +161,23 @@
     Oversized,
 }
 
+/// How far the answer of an attempt had come when the attempt ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerStage {
+    /// No head of a success had arrived.
+    #[default]
+    Awaited,
+    /// The head of a success had arrived, and no complete event.
+    Begun,
+    /// Complete events had arrived.
+    Events {
+        /// Number of reads that completed events.
+        reads: u32,
+        /// Time since the first one.
+        since_first: Duration,
+    },
+}
+
 /// A backend server's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::decision::Decision;
 use crate::gateway::effect::Effect;
+use crate::gateway::event::AnswerStage;
 use crate::gateway::event::Event;
 use crate::gateway::event::FailReason;
 use crate::gateway::event::NotRunReason;
@@ -34,8 +35,8 @@
             Event::AttemptCompleted { work, longest_gap } => {
                 attempt_completed(world, now, *work, *longest_gap, effects);
             }
-            Event::AttemptFailed { work, reason } => {
-                attempt_failed(world, now, *work, *reason, effects)
+            Event::AttemptFailed { work, reason, stage } => {
+                attempt_failed(world, now, *work, (*reason, *stage), effects);
             }
             _ => {}
         }
@@ -140,7 +141,7 @@
     world: &mut World,
     now: Timestamp,
     key: WorkKey,
-    reason: FailReason,
+    (reason, stage): (FailReason, AnswerStage),
     effects: &mut Vec<Effect>,
 ) {
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
@@ -152,6 +153,7 @@
             id: row.id.clone(),
             backend_server: server.listing.id.clone(),
             reason,
+            stage,
             after: now.since(work.dispatched),
             failures: server.failures,
         })));
--- a/crates/snipespan_core/tests/gateway/attempts.rs
+++ b/crates/snipespan_core/tests/gateway/attempts.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::event::AnswerStage;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
@@ -31,7 +32,7 @@
 fn failed_unsafe_is_never_sent_again(#[case] reason: FailReason) {
     let mut kit = Kit::new(3);
     let (_, first) = kit.send("/order/1", 0);
-    kit.step(vec![Event::AttemptFailed { work: first.work, reason }]);
+    kit.step(vec![Event::AttemptFailed { work: first.work, reason, stage: AnswerStage::Awaited }]);
     assert!(kit.sent().is_empty());
     let refused = kit.refused();
     assert_eq!(refused.len(), 1);
@@ -43,7 +44,7 @@
     let mut kit = Kit::new(3);
     let (_, first) = kit.send("/once/1", 1_000);
     let reason = FailReason::Broken;
-    kit.step(vec![Event::AttemptFailed { work: first.work, reason }]);
+    kit.step(vec![Event::AttemptFailed { work: first.work, reason, stage: AnswerStage::Awaited }]);
     assert!(kit.sent().is_empty());
     assert_eq!(kit.refused(), [ResultCode::AnswerCut]);
 }
@@ -53,9 +54,9 @@
     let mut kit = Kit::new(3);
     let (_, first) = kit.send("/look/1", 0);
     let reason = FailReason::ServerError;
-    kit.step(vec![Event::AttemptFailed { work: first.work, reason }]);
+    kit.step(vec![Event::AttemptFailed { work: first.work, reason, stage: AnswerStage::Awaited }]);
     let second = kit.sent_one();
-    kit.step(vec![Event::AttemptFailed { work: second.work, reason }]);
+    kit.step(vec![Event::AttemptFailed { work: second.work, reason, stage: AnswerStage::Awaited }]);
     assert!(kit.sent().is_empty());
     assert_eq!(kit.refused(), [ResultCode::BackendFailed]);
 }
@@ -65,7 +66,7 @@
     let mut kit = Kit::new(2);
     let (_, first) = kit.send("/look/1", 0);
     let reason = FailReason::Broken;
-    kit.step(vec![Event::AttemptFailed { work: first.work, reason }]);
+    kit.step(vec![Event::AttemptFailed { work: first.work, reason, stage: AnswerStage::Awaited }]);
     let second = kit.sent_one();
     // Both backend servers refuse until the waiting time is over.
     let mut work = second.work;
@@ -137,7 +138,11 @@
         let (_, sent) = kit.send("/order/1", 0);
         let reason = FailReason::Broken;
         for _ in 0..3 {
-            kit.step(vec![Event::AttemptFailed { work: sent.work, reason }]);
+            kit.step(vec![Event::AttemptFailed {
+                work: sent.work,
+                reason,
+                stage: AnswerStage::Awaited,
+            }]);
         }
     }
     kit.send("/order/2", 0);
@@ -152,7 +157,11 @@
     for _ in 0..3 {
         kit.arrive("/order/1", 0);
         let work = kit.sent_one().work;
-        kit.step(vec![Event::AttemptFailed { work, reason: FailReason::Broken }]);
+        kit.step(vec![Event::AttemptFailed {
+            work,
+            reason: FailReason::Broken,
+            stage: AnswerStage::Awaited,
+        }]);
         logged.extend(suspensions(&kit));
     }
     let first = Duration::from_millis(500);
--- a/crates/snipespan_core/tests/gateway/spans.rs
+++ b/crates/snipespan_core/tests/gateway/spans.rs
@@ -2,6 +2,7 @@
 
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::effect::ReservationRequest;
+use snipespan_core::gateway::event::AnswerStage;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::ReservationAnswer;
@@ -108,7 +109,11 @@
     let mut kit = Kit::new(6);
     let reservations = reserve_all(&mut kit);
     let work = kit.sent_one().work;
-    kit.step(vec![Event::AttemptFailed { work, reason: FailReason::Broken }]);
+    kit.step(vec![Event::AttemptFailed {
+        work,
+        reason: FailReason::Broken,
+        stage: AnswerStage::Awaited,
+    }]);
     assert_eq!(released(&kit), reservations.len());
 }
 
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use snipespan_core::gateway::decision::Decision;
+use snipespan_core::gateway::event::AnswerStage;
 
 use crate::gateway::metrics::GatewayMetrics;
 
@@ -52,11 +53,17 @@
                 reason:? = reason, after_ms = ms(*after); "attempt not run"
             );
         }
-        Decision::Failed { id, backend_server, reason, after, failures } => {
+        Decision::Failed { id, backend_server, reason, stage, after, failures } => {
             metrics.count("attempt_failed");
+            let (has_begun, event_reads, first_event_ms) = match stage {
+                AnswerStage::Awaited => (false, 0, -1.0),
+                AnswerStage::Begun => (true, 0, -1.0),
+                AnswerStage::Events { reads, since_first } => (true, *reads, ms(*since_first)),
+            };
             log::info!(
                 request = id.as_str(), backend_server = backend_server.as_str(),
-                reason:? = reason, after_ms = ms(*after), failures; "attempt failed"
+                reason:? = reason, has_begun, event_reads, first_event_ms, after_ms = ms(*after),
+                failures; "attempt failed"
             );
         }
         Decision::Stalled { id, backend_server, silence, limit } => log::info!(
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -12,6 +12,7 @@
 use hyper::Uri;
 use hyper::header;
 use snipespan_core::gateway::effect::Dispatch;
+use snipespan_core::gateway::event::AnswerStage;
 use snipespan_core::gateway::event::Arrival;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
@@ -271,7 +272,8 @@
     ) -> AttemptStatus {
         match event {
             ExchangeEvent::Head { status, headers } => {
-                partial.is_stream = self.is_streaming && (200..300).contains(&status);
+                partial.is_success = (200..300).contains(&status);
+                partial.is_stream = self.is_streaming && partial.is_success;
                 partial.status = status;
                 partial.headers = headers;
                 AttemptStatus::InProgress
@@ -281,7 +283,7 @@
             }
             ExchangeEvent::Bytes(bytes) => {
                 if self.share.resize(partial.body.len() + bytes.len()).is_err() {
-                    return self.fail_attempt(work, FailReason::Oversized).await;
+                    return self.fail_attempt(work, FailReason::Oversized, partial).await;
                 }
                 partial.body.extend_from_slice(&bytes);
                 AttemptStatus::InProgress
@@ -292,7 +294,7 @@
                 AttemptStatus::Ended
             }
             ExchangeEvent::Error(AttemptError::Failed(reason)) => {
-                self.fail_attempt(work, reason).await
+                self.fail_attempt(work, reason, partial).await
             }
         }
     }
@@ -302,8 +304,14 @@
         self.report(Event::AttemptCompleted { work, longest_gap }).await;
     }
 
-    async fn fail_attempt(&mut self, work: WorkKey, reason: FailReason) -> AttemptStatus {
-        self.report(Event::AttemptFailed { work, reason }).await;
+    async fn fail_attempt(
+        &mut self,
+        work: WorkKey,
+        reason: FailReason,
+        partial: &PartialAnswer,
+    ) -> AttemptStatus {
+        let stage = partial.stage(self.cx.clock.now());
+        self.report(Event::AttemptFailed { work, reason, stage }).await;
         AttemptStatus::Ended
     }
 
@@ -312,13 +320,13 @@
         &mut self,
         work: WorkKey,
         bytes: &[u8],
-        partial: &PartialAnswer,
+        partial: &mut PartialAnswer,
     ) -> AttemptStatus {
         let Ok(progress) = self.events.push(bytes) else {
-            return self.fail_attempt(work, FailReason::Corrupt).await;
+            return self.fail_attempt(work, FailReason::Corrupt, partial).await;
         };
         if self.share.resize(self.events.buffered_bytes()).is_err() {
-            return self.fail_attempt(work, FailReason::Oversized).await;
+            return self.fail_attempt(work, FailReason::Oversized, partial).await;
         }
         if progress == Progress::None {
             return self.deliver_events().await;
@@ -328,6 +336,8 @@
             self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
         }
         self.last_event_at = now;
+        partial.first_event.get_or_insert(now);
+        partial.reads += 1;
         self.open_stream(partial, now);
         let is_due = now.since(self.reported_at).as_micros() as u64 >= PROGRESS_INTERVAL_US;
         if is_due || self.reported_at == self.arrived_at {
@@ -396,7 +406,7 @@
             // not valid.
             let has_events = self.events.last_id().is_some();
             if !self.events.is_at_boundary() || !has_events {
-                return self.fail_attempt(work, FailReason::Corrupt).await;
+                return self.fail_attempt(work, FailReason::Broken, partial).await;
             }
             self.open_stream(partial, self.cx.clock.now());
             if let AttemptStatus::Interrupted(order) = self.deliver_events().await {
@@ -412,7 +422,7 @@
         if partial.status >= 500 {
             let headers = std::mem::take(&mut partial.headers);
             self.failure_answer = Some(FailureAnswer { status: partial.status, headers, body });
-            return self.fail_attempt(work, FailReason::ServerError).await;
+            return self.fail_attempt(work, FailReason::ServerError, partial).await;
         }
         if let Output::HeadPending(head) = std::mem::replace(&mut self.output, Output::Closed) {
             let seconds = self.cx.clock.now().since(self.arrived_at).as_secs_f64();
@@ -429,12 +439,28 @@
 /// The part of an attempt's answer that was received so far.
 #[derive(Default)]
 struct PartialAnswer {
+    is_success: bool,
+    /// When its first complete event arrived.
+    first_event: Option<Timestamp>,
+    /// Number of reads that completed events.
+    reads: u32,
     is_stream: bool,
     status: u16,
     headers: HeaderMap,
     body: BytesMut,
 }
 
+impl PartialAnswer {
+    /// Returns how far the answer has come.
+    const fn stage(&self, now: Timestamp) -> AnswerStage {
+        match self.first_event {
+            Some(first) => AnswerStage::Events { reads: self.reads, since_first: now.since(first) },
+            None if self.is_success => AnswerStage::Begun,
+            None => AnswerStage::Awaited,
+        }
+    }
+}
+
 /// What the task does after an attempt.
 enum AfterAttempt {
     /// It executes this order; `None` means that the queue is closed.
