--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -15,6 +15,7 @@
 pub mod placing;
 pub mod prediction;
 pub mod process;
+pub mod prompt_parts;
 pub mod routing;
 pub mod serving;
 pub mod spans;
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -5,11 +5,13 @@
 use crate::gateway::decision::Decision;
 use crate::gateway::decision::RetryObstacle;
 use crate::gateway::effect::Effect;
+use crate::gateway::event::AnswerStage;
 use crate::gateway::event::Event;
 use crate::gateway::event::FailReason;
 use crate::gateway::event::NotRunReason;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::health;
+use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::retry_budgets::RetryUse;
 use crate::gateway::tables::work::Phase;
@@ -36,8 +38,8 @@
             Event::AttemptCompleted { work, longest_gap } => {
                 attempt_completed(world, now, *work, *longest_gap, effects);
             }
-            Event::AttemptFailed { work, reason } => {
-                attempt_failed(world, now, *work, *reason, effects)
+            Event::AttemptFailed { work, reason, stage } => {
+                attempt_failed(world, now, *work, (*reason, *stage), effects);
             }
             _ => {}
         }
@@ -56,9 +58,11 @@
     let Some(request) = request_of(world, key) else { return };
     let Some(row) = world.requests.get_mut(request) else { return };
     row.first_byte.get_or_insert(now);
+    row.first_event.get_or_insert(now);
     row.last_event = now;
     let has_no_helpers = row.helper_work.is_empty();
     let helpers = row.helper_work.clone();
+    prompt_parts::record_progress(world, now, request, false, effects);
     let Some(work) = world.work.get(key).copied() else { return };
     if work.phase == Phase::Prefill && has_no_helpers {
         health::record_success(world, work.backend_server, effects);
@@ -100,6 +104,7 @@
         row.first_byte.get_or_insert(now);
         row.longest_gap = longest_gap;
     }
+    prompt_parts::record_progress(world, now, request, true, effects);
     if let Some(server) = world.work.get(key).map(|work| work.backend_server) {
         health::record_success(world, server, effects);
     }
@@ -142,7 +147,7 @@
     world: &mut World,
     now: Timestamp,
     key: WorkKey,
-    reason: FailReason,
+    (reason, stage): (FailReason, AnswerStage),
     effects: &mut Vec<Effect>,
 ) {
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
@@ -154,9 +159,12 @@
             id: row.id.clone(),
             backend_server: server.listing.id.clone(),
             reason,
+            stage,
             after: now.since(work.dispatched),
             failures: server.failures,
         })));
+        let instance_hash = server.listing.instance_hash;
+        prompt_parts::record_failure(world, now, request, instance_hash, (reason, stage), effects);
     }
     retry_if_repeatable(world, now, request, reason.code(), effects);
 }
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use snipespan_core::gateway::decision::Decision;
+use snipespan_core::gateway::event::AnswerStage;
 
 use crate::gateway::metrics::GatewayMetrics;
 
@@ -52,13 +53,23 @@
                 reason:? = reason, after_ms = ms(*after); "attempt not run"
             );
         }
-        Decision::Failed { id, backend_server, reason, after, failures } => {
+        Decision::Failed { id, backend_server, reason, stage, after, failures } => {
             metrics.count("attempt_failed");
+            let (has_begun, event_reads, first_event_ms) = match stage {
+                AnswerStage::Awaited => (false, 0, -1.0),
+                AnswerStage::Begun => (true, 0, -1.0),
+                AnswerStage::Events { reads, since_first } => (true, *reads, ms(*since_first)),
+            };
             log::info!(
                 request = id.as_str(), backend_server = backend_server.as_str(),
-                reason:? = reason, after_ms = ms(*after), failures; "attempt failed"
+                reason:? = reason, has_begun, event_reads, first_event_ms, after_ms = ms(*after),
+                failures; "attempt failed"
             );
         }
+        Decision::PartBlocked { id, part, crashes, wait } => log::info!(
+            request = id.as_str(), part = format!("{part:x}"), crashes, wait_ms = ms(*wait);
+            "prompt part blocked"
+        ),
         Decision::Stalled { id, backend_server, silence, limit, remaining, has_begun } => {
             log::info!(
                 request = id.as_str(), backend_server = backend_server.as_str(),
@@ -132,6 +143,9 @@
         Decision::SpanChanged { id, step, engines } => {
             log::info!(request = id.as_str(), step, engines; "span");
         }
+        Decision::SuspicionChanged { part, step, crashes } => {
+            log::info!(part = format!("{part:x}"), step:% = step, crashes; "prompt part suspected");
+        }
         Decision::SettingsReloaded { is_changed } => log::info!(is_changed; "settings reloaded"),
         Decision::PauseNoticed { delay } => {
             log::warn!(delay_ms = ms(*delay); "the process was paused");
@@ -144,6 +158,7 @@
         | Decision::Deferred { .. }
         | Decision::NotRun { .. }
         | Decision::Failed { .. }
+        | Decision::PartBlocked { .. }
         | Decision::Stalled { .. }
         | Decision::KeptSilent { .. }
         | Decision::NotRetried { .. }
