--- a/crates/snipespand/tests/gateway/odd_listings.rs
+++ b/crates/snipespand/tests/gateway/odd_listings.rs
@@ -112,3 +112,20 @@
     platform.store.put("op", "config", &configuration(2));
     gateway.wait_for_log("configuration in force", None).await;
 }
+
+/// Guards against a gateway that a client's token counts end.
+#[rstest]
+#[case::plain("/order/1")]
+#[case::stream("/stream/1")]
+#[tokio::test]
+async fn token_counts_of_a_client_that_are_too_large_stop_no_gateway(#[case] path: &str) {
+    let platform = TestPlatform::start(2).await;
+    let gateway = platform.gateway("gateway-1").await;
+    for tokens in ["18446744073709551615,1", "18446744073709551615,18446744073709551615"] {
+        let fields = [("token-count", tokens), ("deadline-ms", "1000")];
+        gateway.call_with(Method::POST, path, "request-1", &fields).await;
+    }
+    let fields = [("token-count", "1000,100")];
+    let answer = gateway.call_with(Method::POST, "/stream/1", "request-2", &fields).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+}
