--- a/crates/snipespand/tests/gateway/odd_listings.rs
+++ b/crates/snipespand/tests/gateway/odd_listings.rs
@@ -1,5 +1,7 @@
 //! Tests of odd rows that another writer left in the tables that a gateway follows.
 
+use std::time::Duration;
+
 use hyper::Method;
 use rstest::rstest;
 use serde_json::Value;
@@ -113,6 +115,26 @@
     gateway.wait_for_log("configuration in force", None).await;
 }
 
+/// Guards against a gateway that no longer follows the operator because of a number in a
+/// configuration.
+#[tokio::test]
+async fn number_too_large_in_a_configuration_stops_no_gateway() {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    let mut odd = configuration(2);
+    odd["routes"][3]["timeout_ms"] = json!(1e300);
+    odd["routes"][2]["gap_goal_ms"] = json!(1e300);
+    platform.store.put("op", "config", &odd);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    platform.store.put("op", "config", &configuration(3));
+    wait_until("the newest configuration is in force", || {
+        let lines = gateway.log_lines("configuration in force", None);
+        lines.last().is_some_and(|line| line["to"] == 3)
+    })
+    .await;
+    assert_eq!(gateway.call(Method::POST, "/order/1", "request-1").await.status, 200);
+}
+
 /// Guards against a gateway that a client's token counts end.
 #[rstest]
 #[case::plain("/order/1")]
