--- a/crates/snipespand/tests/gateway/relaying.rs
+++ b/crates/snipespand/tests/gateway/relaying.rs
@@ -5,6 +5,8 @@
 use hyper::Method;
 use nix::sys::signal::Signal;
 use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
 
 use crate::harness::Gateway;
 use crate::harness::TestPlatform;
@@ -90,3 +92,26 @@
     assert!(others.iter().all(|gateway| is_in_mode(gateway, "Relayed")));
     drop(followers);
 }
+
+/// Guards against gateways that miss a change because it is relayed beside a listing that is longer
+/// than a datagram or cannot be decoded, and against gateways that then no longer rely on others.
+#[rstest]
+#[case::long_text(json!({ "zone": "z".repeat(40_000) }))]
+#[case::longer_than_any_datagram(json!({ "zone": "z".repeat(48_000), "service": "s".repeat(48_000) }))]
+#[case::number_too_large(json!({ "slots": 4_294_967_296u64 }))]
+#[tokio::test]
+async fn draining_is_known_in_time_beside_an_odd_listing(#[case] more: Value) {
+    let platform = TestPlatform::start(2).await;
+    let gateways = start_gateways(&platform).await;
+    let mut odd = platform.plain[1].listing(platform.plain[1].address(), "ready");
+    for (name, value) in more.as_object().expect("fields") {
+        odd[name] = value.clone();
+    }
+    platform.store.put("servers", "odd", &odd);
+    assert_eq!(runs_after_draining(&platform, &gateways).await, 0);
+    wait_until("the others rely on the followers again", || {
+        let count = |mode| gateways.iter().filter(|gateway| is_in_mode(gateway, mode)).count();
+        count("ForPeers") == 4 && count("Relayed") == GATEWAYS - 4
+    })
+    .await;
+}
