Answer 421 to requests that gateways send to a gateway

What was seen: with a listing of another writer that has the address of the gateway itself, whether for clients, for readiness or for peers, unsafe requests ended with 502: the gateway sent them to itself, and its 401 or 404 without a signature counts as an answer of a request that may have run. On a public route the request would have been placed again, in a loop until its deadline.

Evidence: the three cases of `listing_with_the_address_of_a_gateway_fails_no_request` failed: "left: 502, right: 200".

Fix: a request that is addressed to a backend server and has no API key comes from a gateway, and nothing runs it here, so it is answered with 421, as any other wrong address does. The sender suspends that listing at once and sends the request elsewhere. The other two ports answer 421 to all paths that they do not know. This also holds for the address of another gateway.

--- a/crates/snipespand/src/gateway/answer.rs
+++ b/crates/snipespand/src/gateway/answer.rs
@@ -120,6 +120,14 @@
     *response.headers_mut() = headers::end_to_end_headers(headers);
 }
 
+/// Returns the answer to a request of a gateway that takes this one for a backend server, because a
+/// listing has its address.
+pub(super) fn misdirected_response(id: &str) -> Response<AnswerBody> {
+    let mut response = error_response(id, ResultCode::IncarnationMismatch, None);
+    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+    response
+}
+
 /// Returns an answer of this gateway itself, which carries a result code, with a `Retry-After`
 /// field if `retry_after` is given.
 pub(super) fn error_response(
--- a/crates/snipespand/src/gateway/clients.rs
+++ b/crates/snipespand/src/gateway/clients.rs
@@ -125,6 +125,10 @@
     let received = cx.clock.now();
     let (parts, body) = req.into_parts();
     let fields = headers::parse_request_fields(&parts.headers);
+    if headers::is_from_gateway(&parts.headers) {
+        log::warn!(request = fields.id.as_str(); "rejected: a listing has this gateway's address");
+        return answer::misdirected_response(&fields.id);
+    }
     let limit = cx.limits.borrow().body_bytes;
     let collected = Limited::new(body, limit).collect();
     let read = tokio::time::timeout(BODY_TIME_LIMIT, collected).await;
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -100,6 +100,8 @@
         let router = Router::new()
             .route(SERVING_PATH, get(get_serving))
             .route(METRICS_PATH, get(get_metrics))
+            // Nothing else is run here, also if a listing of a backend server has this address.
+            .fallback(async || StatusCode::MISDIRECTED_REQUEST)
             .with_state(self.cx);
         tokio::spawn(async move {
             if let Err(e) = axum::serve(self.listener, router).await {
--- a/crates/snipespand/src/gateway/ready.rs
+++ b/crates/snipespand/src/gateway/ready.rs
@@ -17,7 +17,11 @@
 pub(super) async fn serve(address: SocketAddr, cx: Arc<GatewayContext>) -> Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let router = Router::new().route(READY_PATH, get(get_readiness)).with_state(cx);
+    let router = Router::new()
+        .route(READY_PATH, get(get_readiness))
+        // Nothing else is run here, also if a listing of a backend server has this address.
+        .fallback(async || StatusCode::MISDIRECTED_REQUEST)
+        .with_state(cx);
     tokio::spawn(async move {
         if let Err(e) = axum::serve(listener, router).await {
             log::error!("the HTTP server for readiness failed: {e}");
--- a/crates/snipespand/tests/gateway/odd_listings.rs
+++ b/crates/snipespand/tests/gateway/odd_listings.rs
@@ -1,5 +1,6 @@
 //! Tests of odd rows that another writer left in the tables that a gateway follows.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::Method;
@@ -135,6 +136,28 @@
     assert_eq!(gateway.call(Method::POST, "/order/1", "request-1").await.status, 200);
 }
 
+/// Guards against requests that a gateway sends to itself because a listing has its address.
+#[rstest]
+#[case::clients(|gateway: &Gateway| gateway.clients)]
+#[case::ready(|gateway: &Gateway| gateway.ready)]
+#[case::peers(|gateway: &Gateway| gateway.peers)]
+#[tokio::test]
+async fn listing_with_the_address_of_a_gateway_fails_no_request(
+    #[case] address: fn(&Gateway) -> SocketAddr,
+) {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    let address = format!("\"{}\"", address(&gateway));
+    let mut listing = listing_with("address", &address);
+    listing = listing.replace("\"slots\":16", "\"slots\":100000");
+    platform.store.put_bytes("servers", "odd", listing.as_bytes());
+    gateway.wait_for_log("backend server changed", Some(("backend_server", "odd"))).await;
+    for number in 0..6 {
+        let id = format!("request-{number}");
+        assert_eq!(gateway.call(Method::POST, "/order/1", &id).await.status, 200);
+    }
+}
+
 /// Guards against a gateway that a client's token counts end.
 #[rstest]
 #[case::plain("/order/1")]
