End no stream with an answer that does not continue it

What operators of similar systems saw: a stream broke off, the next replica answered with an error, and the client found the error in its stream or the stream ended as if it were complete.

It can happen here. After a stream had begun, a 204 or any empty 2xx ended it cleanly, so that the client took two of six events for all; a 206 or JSON was forwarded into it; and a signed 404, 304 or 101 cut the client's stream while the request counted as completed, without a try elsewhere.

Evidence, with real processes and a server that writes any bytes: six cases of `error_after_a_broken_stream_stays_out_of_it` failed (not_found, no_content, not_modified, partial_content, switching_protocols, other_type) and two of `broken_stream_before_errors_only_does_not_look_whole` (no_content: "assertion failed: !answer.is_complete"; not_found: 2 servers tried of 4). 5xx, refusals, unsigned answers and a reset after a complete event were sound.

Fix: once a stream has begun, only an answer with status 200 that is a stream of events continues it. Any other is a failed attempt: the next server is tried while attempts and time allow, and otherwise the client's stream ends with an error. A streaming route's 2xx that states another type than events is corrupt also as the first answer.

--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -271,7 +271,7 @@
     ) -> AttemptStatus {
         match event {
             ExchangeEvent::Head { status, headers } => {
-                partial.is_stream = self.is_streaming && (200..300).contains(&status);
+                partial.is_stream = self.is_stream(status, &headers);
                 partial.status = status;
                 partial.headers = headers;
                 AttemptStatus::InProgress
@@ -297,6 +297,13 @@
         }
     }
 
+    /// Returns whether an answer with this head is a stream, or the rest of the one that has begun.
+    fn is_stream(&self, status: u16, headers: &HeaderMap) -> bool {
+        let has_begun = matches!(self.output, Output::Streaming(_));
+        let is_success = if has_begun { status == 200 } else { (200..300).contains(&status) };
+        self.is_streaming && is_success && headers::is_event_stream(headers)
+    }
+
     async fn report_completed(&self, work: WorkKey) {
         let longest_gap = self.longest_gap;
         self.report(Event::AttemptCompleted { work, longest_gap }).await;
@@ -414,6 +421,12 @@
             self.failure_answer = Some(FailureAnswer { status: partial.status, headers, body });
             return self.fail_attempt(work, FailReason::ServerError).await;
         }
+        // The client would take the end of an answer that is not the rest of its stream for the end
+        // of that.
+        let is_success = (200..300).contains(&partial.status);
+        if matches!(self.output, Output::Streaming(_)) || self.is_streaming && is_success {
+            return self.fail_attempt(work, FailReason::Corrupt).await;
+        }
         if let Output::HeadPending(head) = std::mem::replace(&mut self.output, Output::Closed) {
             let seconds = self.cx.clock.now().since(self.arrived_at).as_secs_f64();
             self.cx.metrics.observe_first_byte("plain", seconds);
--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -3,13 +3,21 @@
 use hyper::Method;
 use rstest::rstest;
 use serde_json::json;
+use snipespan_fakes::users_platform::replica::stream_event;
 
+use crate::harness::Answer;
+use crate::harness::ENGINE;
 use crate::harness::Gateway;
 use crate::harness::PLAIN;
 use crate::harness::TestPlatform;
+use crate::harness::configuration;
 use crate::scripted::Script;
 use crate::scripted::ScriptedServer;
 
+/// Start of the head of a valid stream without a length.
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\n\r\n";
+
 /// A complete answer of a plain service.
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok";
 
@@ -61,3 +69,83 @@
     assert_eq!(answer.status, 200);
     assert_eq!((server.connections(), platform.plain_runs()), (1, 1));
 }
+
+/// Returns an answer that is neither the rest of a stream nor a refusal.
+fn error(status: u16, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\nserver-stamp: s\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Returns the events from one to another, both included.
+fn events(from: u64, to: u64) -> String {
+    (from..=to).map(stream_event).collect()
+}
+
+/// Calls for a stream whose first server breaks it off after two of six events; the other three
+/// servers play the scripts in order.
+async fn call_broken_stream(scripts: Vec<Script>) -> (Answer, usize) {
+    let platform = TestPlatform::start(1).await;
+    let mut serving = configuration(2);
+    serving["routes"][0]["max_attempts"] = json!(4);
+    platform.store.put("op", "config", &serving);
+    let broken = Script::Reset(format!("{STREAM_HEAD}{}", events(1, 2)));
+    let server = ScriptedServer::start([vec![broken], scripts].concat()).await;
+    for number in 0..4 {
+        platform.store.put("servers", &format!("s-{number}"), &server.listing(ENGINE));
+    }
+    platform.store.remove("servers", platform.engines[0].id());
+    let gateway = platform.gateway("gateway-1").await;
+    let answer = gateway.call(Method::POST, "/stream/1", "request-1").await;
+    (answer, server.connections())
+}
+
+/// Guards against an error of a later server that ends up in a stream, or ends it as if it were
+/// complete; the server after that continues the stream.
+#[rstest]
+#[case::not_found(&error(404, "gone\n\n"))]
+#[case::own_failure(&error(500, "broken\n\n"))]
+#[case::unsigned_failure("HTTP/1.1 502 X\r\n\r\nbroken\n\n")]
+#[case::refusal("HTTP/1.1 503 X\r\nnot-executed: 1\r\n\r\nbusy\n\n")]
+#[case::no_content("HTTP/1.1 204 X\r\nserver-stamp: s\r\n\r\n")]
+#[case::not_modified("HTTP/1.1 304 X\r\nserver-stamp: s\r\n\r\n")]
+#[case::partial_content(&error(206, &events(3, 4)))]
+#[case::switching_protocols("HTTP/1.1 101 X\r\nserver-stamp: s\r\nupgrade: x\r\n\r\n")]
+#[case::other_type(
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: application/json\r\n\r\n{\"id\":3}\n\n"
+)]
+#[case::unsigned_stream(&format!("HTTP/1.1 200 OK\r\n\r\n{}", events(3, 6)))]
+#[case::leaves_out(&format!("{STREAM_HEAD}{}", events(4, 6)))]
+#[tokio::test]
+async fn error_after_a_broken_stream_stays_out_of_it(#[case] script: &str) {
+    let rest = Script::Close(format!("{STREAM_HEAD}{}", events(3, 6)));
+    let (answer, connections) =
+        call_broken_stream(vec![Script::Close(script.to_owned()), rest]).await;
+    assert_eq!(answer.body, events(1, 6));
+    assert!(answer.is_complete);
+    assert_eq!(connections, 3);
+}
+
+/// Guards against a stream that looks complete although its connection was reset after a complete
+/// event.
+#[tokio::test]
+async fn reset_after_a_complete_event_is_no_end_of_a_stream() {
+    let scripts = vec![
+        Script::Reset(format!("{STREAM_HEAD}{}", events(3, 3))),
+        Script::Close(format!("{STREAM_HEAD}{}", events(4, 6))),
+    ];
+    let (answer, connections) = call_broken_stream(scripts).await;
+    assert_eq!((answer.body, answer.is_complete, connections), (events(1, 6), true, 3));
+}
+
+/// Guards against a broken stream that looks complete because all other servers answer with errors.
+#[rstest]
+#[case::not_found(&error(404, "gone\n\n"))]
+#[case::own_failure(&error(500, "broken\n\n"))]
+#[case::no_content("HTTP/1.1 204 X\r\nserver-stamp: s\r\n\r\n")]
+#[tokio::test]
+async fn broken_stream_before_errors_only_does_not_look_whole(#[case] script: &str) {
+    let (answer, connections) = call_broken_stream(vec![Script::Close(script.to_owned())]).await;
+    assert_eq!(answer.body, events(1, 2));
+    assert!(!answer.is_complete);
+    assert_eq!(connections, 4);
+}
--- a/crates/snipespand/tests/gateway/scripted.rs
+++ b/crates/snipespand/tests/gateway/scripted.rs
@@ -21,6 +21,8 @@
 pub(crate) enum Script {
     /// Writes the bytes and closes the connection.
     Close(String),
+    /// Writes the bytes and resets the connection.
+    Reset(String),
 }
 
 /// A running server; its first connection plays the first script, and so on. Connections beyond the
@@ -63,7 +65,10 @@
 async fn play(mut stream: TcpStream, script: Script) {
     let mut buf = [0; 4096];
     let _ = stream.read(&mut buf).await;
-    let Script::Close(bytes) = &script;
+    let (Script::Close(bytes) | Script::Reset(bytes)) = &script;
     let _ = stream.write_all(bytes.as_bytes()).await;
     tokio::time::sleep(CLOSE_PAUSE).await;
+    if let Script::Reset(_) = script {
+        let _ = stream.set_zero_linger();
+    }
 }
