Forward no text that is not an event

What operators of similar systems saw: an error's text, at times its whole head, in the middle of a client's stream.

It can happen here: whatever a signed stream contained up to an empty line was forwarded as an event, also a head ("HTTP/1.1 503 ..."), a line of text or a JSON object, and an id that is no number was forwarded without a check of the order.

Fix: each line of an event must be a comment or a field, whose name has lower case letters and hyphens; an id must be a number. Anything else fails the attempt, and the next server continues after the last event. Events without an id are forwarded as before.

--- a/crates/snipespand/src/gateway/events.rs
+++ b/crates/snipespand/src/gateway/events.rs
@@ -7,7 +7,10 @@
 /// event.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
-/// Error of a stream in which an event is missing or too long.
+/// Fields of events, which may be without a value.
+const STANDARD_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// Error of a stream in which an event is missing, too long or no event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidEventStream;
 
@@ -76,7 +79,8 @@
     /// stream.
     ///
     /// # Errors
-    /// [`InvalidEventStream`] when an event is missing or more than 1 MiB is buffered.
+    /// [`InvalidEventStream`] when an event is missing, when a line is no field of an event, or when
+    /// more than 1 MiB is buffered.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Progress, InvalidEventStream> {
         let mut progress = Progress::None;
         self.partial.extend_from_slice(bytes);
@@ -119,7 +123,10 @@
     /// event without an id is always forwarded, one that the client already has never. The first
     /// event may have any id if the client has none; each later id must be the next one.
     fn accept_event(&mut self, event: &[u8]) -> Result<bool, InvalidEventStream> {
-        let Some(id) = event_id(event) else { return Ok(true) };
+        if !lines_of(event).all(is_field) {
+            return Err(InvalidEventStream);
+        }
+        let Some(id) = event_id(event)? else { return Ok(true) };
         match self.last_id {
             Some(last) if id <= last => Ok(false),
             Some(last) if id > last + 1 => Err(InvalidEventStream),
@@ -131,15 +138,32 @@
     }
 }
 
+/// Returns the lines of an event, without line ends and the empty line at its end.
+fn lines_of(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line)).filter(|line| !line.is_empty())
+}
+
 /// Returns whether an event has a field, and not only comments, which a server may send for ever
 /// without going on with the answer.
 fn has_content(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    lines.any(|line| !line.is_empty() && line != b"\r" && !line.starts_with(b":"))
+    lines_of(event).any(|line| !line.starts_with(b":"))
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
+/// Returns whether a line is a comment or a field, and not text such as that of an error, which a
+/// server in trouble may write into its stream.
+fn is_field(line: &[u8]) -> bool {
+    match line.iter().position(|byte| *byte == b':') {
+        Some(end) => line[..end].iter().all(|byte| matches!(byte, b'a'..=b'z' | b'-' | b'_')),
+        None => STANDARD_FIELDS.contains(&line),
+    }
+}
+
+/// Returns the id of an event; `None` if it has none.
+fn event_id(event: &[u8]) -> Result<Option<u64>, InvalidEventStream> {
+    let Some(id) = lines_of(event).find_map(|line| line.strip_prefix(b"id:")) else {
+        return Ok(None);
+    };
+    let id = std::str::from_utf8(id).ok().and_then(|id| id.trim().parse().ok());
+    id.map(Some).ok_or(InvalidEventStream)
 }
--- a/crates/snipespand/tests/events.rs
+++ b/crates/snipespand/tests/events.rs
@@ -49,6 +49,22 @@
 #[case::comment(b": wait\n\n", Ok(Progress::None), b": wait\n\n")]
 #[case::without_id(b"data: x\n\n", Ok(Progress::Advanced), b"data: x\n\n")]
 #[case::carriage_returns(b"id: 5\r\n\r\n", Ok(Progress::Advanced), b"id: 5\r\n\r\n")]
+#[case::field_of_the_platform(
+    b"weight-versions: 7\nid: 5\n\n",
+    Ok(Progress::Advanced),
+    b"weight-versions: 7\nid: 5\n\n"
+)]
+#[case::fields_without_values(b"id: 5\ndata\n\n", Ok(Progress::Advanced), b"id: 5\ndata\n\n")]
+#[case::head(
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\r\n",
+    Err(InvalidEventStream),
+    b""
+)]
+#[case::error_text(b"the server is overloaded\n\n", Err(InvalidEventStream), b"")]
+#[case::error_object(b"{\"error\": \"overloaded\"}\n\n", Err(InvalidEventStream), b"")]
+#[case::text_after_fields(b"id: 5\ndata: x\nBad Gateway\n\n", Err(InvalidEventStream), b"")]
+#[case::id_that_is_no_number(b"id: x\ndata: y\n\n", Err(InvalidEventStream), b"")]
+#[case::id_too_large(b"id: 99999999999999999999\n\n", Err(InvalidEventStream), b"")]
 fn push_in_order(
     #[case] bytes: &[u8],
     #[case] outcome: Result<Progress, InvalidEventStream>,
