Take a stream that ends before the client's last event for broken

What was seen: the server that continued a broken stream sent only an earlier event and ended. The event was left out, as the client had it, and the client's stream ended as if it were complete.

Evidence: the cases goes_back of `error_after_a_broken_stream_stays_out_of_it` and `broken_stream_before_errors_only_does_not_look_whole` failed: "assertion failed: !answer.is_complete".

Fix: an attempt that sent events and whose last one comes before the last that the client has does not end the stream. An attempt without any event still ends it: the server before may have sent the last event and broken off before the end of its answer.

--- a/crates/snipespand/src/gateway/events.rs
+++ b/crates/snipespand/src/gateway/events.rs
@@ -33,6 +33,8 @@
     line_start: usize,
     undelivered: BytesMut,
     last_id: Option<u64>,
+    /// Id of the last complete event of the current attempt.
+    attempt_id: Option<u64>,
 }
 
 impl EventFramer {
@@ -47,16 +49,18 @@
         self.last_id
     }
 
-    /// Discards the part of an event that a failed attempt has left.
+    /// Starts another attempt: discards the part of an event that a failed one has left.
     pub fn drop_partial(&mut self) {
+        self.attempt_id = None;
         self.partial.clear();
         self.searched = 0;
         self.line_start = 0;
     }
 
-    /// Returns whether no incomplete event is buffered.
+    /// Returns whether the stream may end here: no incomplete event is buffered, and the attempt has
+    /// not stopped before the last event that the client has.
     pub fn is_at_boundary(&self) -> bool {
-        self.partial.is_empty()
+        self.partial.is_empty() && self.attempt_id.is_none_or(|id| Some(id) >= self.last_id)
     }
 
     /// Returns the complete events that were not taken yet, unchanged.
@@ -127,6 +131,7 @@
             return Err(InvalidEventStream);
         }
         let Some(id) = event_id(event)? else { return Ok(true) };
+        self.attempt_id = Some(id);
         match self.last_id {
             Some(last) if id <= last => Ok(false),
             Some(last) if id > last + 1 => Err(InvalidEventStream),
--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -117,6 +117,7 @@
 #[case::head_as_text(&format!("{STREAM_HEAD}HTTP/1.1 503 X\r\nRetry-After: 1\r\n\r\nbusy\r\n\r\n"))]
 #[case::error_text(&format!("{STREAM_HEAD}the server is overloaded\n\n"))]
 #[case::error_object(&format!("{STREAM_HEAD}{{\"error\": \"overloaded\"}}\n\n"))]
+#[case::goes_back(&format!("{STREAM_HEAD}{}", events(1, 1)))]
 #[case::leaves_out(&format!("{STREAM_HEAD}{}", events(4, 6)))]
 #[tokio::test]
 async fn error_after_a_broken_stream_stays_out_of_it(#[case] script: &str) {
@@ -146,6 +147,7 @@
 #[case::own_failure(&error(500, "broken\n\n"))]
 #[case::no_content("HTTP/1.1 204 X\r\nserver-stamp: s\r\n\r\n")]
 #[case::head_as_text(&format!("{STREAM_HEAD}HTTP/1.1 503 X\r\nRetry-After: 1\r\n\r\nbusy\r\n\r\n"))]
+#[case::goes_back(&format!("{STREAM_HEAD}{}", events(1, 1)))]
 #[tokio::test]
 async fn broken_stream_before_errors_only_does_not_look_whole(#[case] script: &str) {
     let (answer, connections) = call_broken_stream(vec![Script::Close(script.to_owned())]).await;
