Play with real processes what operators of similar systems saw

These pass on the code before too, so they show that the points cannot happen as played:

- a second copy of an answer reaches no later request of the same client (`second_copy_of_an_answer_reaches_no_other_request`);
- a planned stop answers requests of which nothing, a part of the head or a part of the body has arrived (`planned_stop_answers_a_request_that_is_half_read`);

--- a/crates/snipespand/tests/gateway/draining.rs
+++ b/crates/snipespand/tests/gateway/draining.rs
@@ -5,8 +5,14 @@
 
 use hyper::Method;
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use snipespan_platform_adapter::connection::Connection;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
+use crate::harness::API_KEY;
+use crate::harness::HOST;
 use crate::harness::TestPlatform;
 use crate::harness::WAIT_TIMEOUT;
 use crate::harness::read_answer;
@@ -33,6 +39,33 @@
     assert!(gateway.wait_for_exit().await.success());
 }
 
+/// Guards against a planned stop that cuts off a request of which a part has arrived.
+#[rstest]
+#[case::nothing("")]
+#[case::part_of_the_head("POST /order/1 HTT")]
+#[case::head_and_part_of_the_body("the ")]
+#[tokio::test]
+async fn planned_stop_answers_a_request_that_is_half_read(#[case] sent_until: &str) {
+    let platform = TestPlatform::start(1).await;
+    let mut gateway = platform.gateway("gateway-1").await;
+    let request = format!(
+        "POST /order/1 HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: request-1\r\ndeadline-ms: 5000\r\n\
+         authorization: Token {API_KEY}\r\ncontent-length: 8\r\n\r\nthe body"
+    );
+    let at = request.find(sent_until).expect("a part") + sent_until.len();
+    let mut stream = TcpStream::connect(gateway.clients).await.expect("it connects");
+    stream.write_all(&request.as_bytes()[..at]).await.expect("it is written");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    gateway.signal(Signal::SIGTERM);
+    gateway.wait_until_ready(false).await;
+    stream.write_all(&request.as_bytes()[at..]).await.expect("it is written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(answer.ends_with("the answer to request-1"), "{answer}");
+    assert!(gateway.wait_for_exit().await.success());
+}
+
 /// Guards against a planned stop that ends before the load balancer has noticed it, for which it
 /// needs 2 s, or that an idle connection delays beyond the limit of 8 s.
 #[tokio::test]
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod observing;
 mod odd_answers;
 mod odd_listings;
+mod pauses;
 mod relaying;
 mod scripted;
 mod spans;
--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -4,13 +4,17 @@
 use rstest::rstest;
 use serde_json::json;
 use snipespan_fakes::users_platform::replica::stream_event;
+use snipespan_platform_adapter::connection::Connection;
 
 use crate::harness::Answer;
 use crate::harness::ENGINE;
 use crate::harness::Gateway;
 use crate::harness::PLAIN;
 use crate::harness::TestPlatform;
+use crate::harness::WAIT_TIMEOUT;
 use crate::harness::configuration;
+use crate::harness::read_answer;
+use crate::harness::request;
 use crate::scripted::Script;
 use crate::scripted::ScriptedServer;
 
@@ -53,6 +57,22 @@
     assert_eq!((server.connections(), platform.plain_runs()), (1, 0));
 }
 
+/// Guards against a second copy of an answer that the next request of the same client gets.
+#[tokio::test]
+async fn second_copy_of_an_answer_reaches_no_other_request() {
+    let second = ANSWER.replace("ok", "no");
+    let scripts = vec![Script::Close(ANSWER.repeat(2)), Script::Close(second)];
+    let platform = TestPlatform::start(0).await;
+    let server = ScriptedServer::start(scripts).await;
+    platform.store.put("servers", "scripted", &server.listing(PLAIN));
+    let gateway = platform.gateway("gateway-1").await;
+    let mut client = Connection::open(gateway.clients, WAIT_TIMEOUT).await.expect("it connects");
+    for body in ["ok", "no"] {
+        let response = client.send(request(Method::POST, "/order/1", body, &[])).await;
+        assert_eq!(read_answer(response.expect("an answer")).await.body, body);
+    }
+}
+
 /// Guards against a refusal that is not believed, so that its request fails: a refusal need not
 /// echo the id, and bytes after it are not read.
 #[rstest]
