--- a/crates/snipespan_fakes/src/users_platform/store.rs
+++ b/crates/snipespan_fakes/src/users_platform/store.rs
@@ -27,6 +27,9 @@
 use crate::server::Server;
 use crate::sync::lock;
 
+/// Maximum number of rows in one answer, that of the platform.
+const MAX_ROWS_PER_PAGE: usize = 500;
+
 /// Fault of the store, which tests may change while it runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -205,7 +208,7 @@
     }
 }
 
-/// Returns the rows of a table from a key on, all on one page.
+/// Returns the first rows of a table from a key on.
 async fn rows_get(State(shared): State<Arc<Shared>>, Query(query): Query<GetQuery>) -> Response {
     if apply_fault(&shared).await {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
@@ -213,8 +216,10 @@
     let rows = lock(&shared.rows);
     let found =
         rows.rows.iter().filter(|((table, key), _)| *table == query.table && *key >= query.from);
-    let found: Vec<_> = found.map(|(_, row)| row.as_str()).collect();
-    rows.respond(&found, ",\"has_more\":false")
+    let mut found: Vec<_> = found.map(|(_, row)| row.as_str()).collect();
+    let has_more = found.len() > MAX_ROWS_PER_PAGE;
+    found.truncate(MAX_ROWS_PER_PAGE);
+    rows.respond(&found, &format!(",\"has_more\":{has_more}"))
 }
 
 /// Returns the changes of a table after a version, or none after the maximum wait.
--- a/crates/snipespand/tests/gateway/store.rs
+++ b/crates/snipespand/tests/gateway/store.rs
@@ -76,6 +76,20 @@
     gateway.wait_for_log("backend server changed", Some(("standing", "draining"))).await;
 }
 
+/// Guards against a gateway that never reads a list of backend servers which takes several pages.
+#[tokio::test]
+async fn list_of_several_pages_is_read() {
+    let platform = TestPlatform::start(1).await;
+    for number in 0..1200 {
+        let mut listing = platform.plain[0].listing(platform.plain[0].address(), "ready");
+        listing["service"] = json!("another");
+        platform.store.put("servers", &format!("another-{number}"), &listing);
+    }
+    let gateway = platform.gateway("gateway-1").await;
+    let answer = gateway.call(Method::POST, "/order/1", "request-1").await;
+    assert_eq!(answer.status, 200);
+}
+
 /// Guards against a listing that a backend server cannot have written: requests that are sent to
 /// it, or a gateway that no longer reads the other listings.
 #[rstest]
