Place a span without memory again when its pause is over

Cause: requests are placed before spans are handled in a tick. The placement that a given-up span schedules was not in the time of the next tick.

Evidence, before: span_without_memory_is_due_again_by_itself (snipespan_core, tests/gateway/spans.rs): "due after 7000000 us" at 6000000 us, expected 60000 us later at most. After: it passes, as do the other 128 tests of tests/gateway in snipespan_core.

--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -130,8 +130,8 @@
     effects.push(Effect::Reserve { request: key, backend_server, reservation });
 }
 
-/// Applies answers to reservation requests and renews reservations; returns when the next renewal
-/// is due.
+/// Applies answers to reservation requests and renews reservations; returns when the next renewal,
+/// or the placement of a request whose span was given up, is due.
 pub fn run(
     world: &mut World,
     now: Timestamp,
@@ -143,7 +143,10 @@
             apply_answer(world, now, *request, *backend_server, *answer, effects);
         }
     }
-    renew_reservations(world, now, effects)
+    let renew_at = renew_reservations(world, now, effects);
+    // Requests are placed before this in a tick, so that its result does not include these.
+    let place_at = world.placement_queue.first().map(|(due, _)| *due);
+    [renew_at, place_at].into_iter().flatten().min()
 }
 
 fn apply_answer(
--- a/crates/snipespan_core/tests/gateway/spans.rs
+++ b/crates/snipespan_core/tests/gateway/spans.rs
@@ -136,3 +136,17 @@
     assert!(moved.iter().all(|(_, _, reservation)| reservation.address != first.address));
     assert!(released(&kit) >= reservations.len());
 }
+
+/// Guards against a span that is placed again only at the next event, because the tick that gave up
+/// its engines does not say when that is due.
+#[test]
+fn span_without_memory_is_due_again_by_itself() {
+    let mut kit = Kit::new(6);
+    kit.arrive("/draft/1", LONG_PROMPT_TOKENS);
+    let reservations = reserved(&kit);
+    let (request, backend_server, _) = reservations[0].clone();
+    let answer = ReservationAnswer::InsufficientMemory;
+    let answered = Event::ReservationAnswered { request, backend_server, answer };
+    let wake_at = kit.step(vec![answered]).expect("a time");
+    assert!(wake_at <= kit.now.after(Duration::from_millis(60)), "due after {}", wake_at);
+}
