Show that an attempt that is not sent yet is withdrawn when its server leaves

A replica is listed at an address whose listener has a full queue, so that connecting takes longer than the gateway waits. Its answer to an earlier request announces that it leaves while others connect; one of them is logged as withdrawn, and none runs. With the order ignored in exchange and task (a scratch change of request_task.rs) it fails: "assertion failed: !withdrawn.is_empty()".

--- a/crates/snipespand/tests/gateway/announcements.rs
+++ b/crates/snipespand/tests/gateway/announcements.rs
@@ -10,13 +10,20 @@
 use rstest::rstest;
 use serde_json::json;
 use snipespan_fakes::users_platform::replica::FakeReplica;
+use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::replica::ReplicaNotice;
 use snipespan_fakes::users_platform::replica::Run;
 use snipespan_fakes::users_platform::store::StoreFault;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::harness::Answer;
 use crate::harness::Gateway;
+use crate::harness::PLAIN;
 use crate::harness::TestPlatform;
+use crate::harness::replica_config;
 use crate::harness::wait_until;
 
 /// Number of calls of which each of two idle replicas gets some.
@@ -369,3 +376,54 @@
     call_in_turn(&second, "/order/1", "second-again").await;
     assert_eq!(replica.arrivals().len(), 3);
 }
+
+/// Returns a listener whose queue is full, so that connecting to it takes longer than the gateway
+/// waits, and the connections that fill it.
+async fn full_listener() -> (TcpListener, Vec<JoinHandle<std::io::Result<TcpStream>>>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let listener = socket.listen(1).expect("it listens");
+    let address = listener.local_addr().expect("an address");
+    let connections = (0..8).map(|_| tokio::spawn(TcpStream::connect(address))).collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    (listener, connections)
+}
+
+/// Guards against a request that is sent after the answer by which its replica announces that it
+/// leaves, because it was ordered before. Its connection is not open yet, as the
+/// replica is listed at another address since its first request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_withdraws_a_request_that_is_not_sent_yet() {
+    let platform = TestPlatform::start(0).await;
+    let gateway = Arc::new(platform.gateway("gateway-1").await);
+    let pause = Duration::from_millis(1000);
+    let config = ReplicaConfig { pause, ..replica_config(PLAIN, 0) };
+    let replica = FakeReplica::start(config, None).await.expect("it starts");
+    platform.set_state(&replica, "ready");
+    gateway.wait_for_log("backend server changed", Some(("cause", "listed"))).await;
+    let call = |id: &'static str| {
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move { gateway.call(Method::POST, "/order/1", id).await })
+    };
+    let first = call("first");
+    wait_until("it runs", || replica.runs().len() == 1).await;
+    let (listener, _connections) = full_listener().await;
+    let address = listener.local_addr().expect("an address");
+    platform.store.put("servers", replica.id(), &replica.listing(address, "ready"));
+    gateway.wait_for_log("backend server changed", Some(("cause", "listing changed"))).await;
+    let began = replica.runs()[0].began;
+    replica.set_notice(leaving());
+    // One of these is connecting when the first answer arrives.
+    let mut later = Vec::new();
+    for (id, after_ms) in [("second", 700), ("third", 850), ("fourth", 950)] {
+        tokio::time::sleep_until((began + Duration::from_millis(after_ms)).into()).await;
+        later.push(call(id));
+    }
+    first.await.expect("an answer");
+    for answer in later {
+        assert_eq!(answer.await.expect("an answer").status, 503);
+    }
+    let withdrawn = gateway.log_lines("attempt not run", Some(("reason", "Withdrawn")));
+    assert!(!withdrawn.is_empty());
+    assert_eq!(replica.runs().len(), 1);
+}
