Renew no reservation for a span that cannot start

What callers saw: nothing; an engine that wants nothing, or is leaving, got one more order for a span that waits for the answers of other engines and is given up after them.

Cause: reservations were renewed without a look at whether the engine still takes work.

Evidence, before: unwanted_engine_of_a_span_that_is_not_sent_is_not_asked_again (snipespan_core): "assertion failed: !renewed.contains(&first[0].1)".

--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -198,11 +198,10 @@
     world.schedule_placement(key, now.after(RETRY_PAUSE));
 }
 
-/// Returns whether all engines of a span take work; one may have left since they were chosen.
-fn is_startable(world: &World, now: Timestamp, span: &Span) -> bool {
-    let mut servers =
-        span.reservations.iter().map(|r| world.backend_servers.rows.get(r.backend_server));
-    servers.all(|row| row.is_some_and(|row| row.accepts_work() && !row.is_unwanted(now)))
+/// Returns whether an engine of a span still takes work; it may have left since it was chosen.
+fn takes_work(world: &World, now: Timestamp, server: BackendServerKey) -> bool {
+    let row = world.backend_servers.rows.get(server);
+    row.is_some_and(|row| row.accepts_work() && !row.is_unwanted(now))
 }
 
 fn span_engines(row: &Request) -> usize {
@@ -212,7 +211,7 @@
 fn dispatch_span(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
     let Some(row) = world.requests.get(key) else { return };
     let Some(span) = row.span.as_ref() else { return };
-    if !is_startable(world, now, span) {
+    if !span.reservations.iter().all(|r| takes_work(world, now, r.backend_server)) {
         abandon_span(world, now, key, "engine gone", effects);
         return;
     }
@@ -286,7 +285,11 @@
         next = Some(span.renew_at.or_sooner(next));
     }
     for (key, server) in due {
-        request_reservation(world, key, server, effects);
+        let is_running = world.requests.get(key).is_some_and(|row| row.work.is_some());
+        // A span that is not sent is given up once the other engines have answered.
+        if is_running || takes_work(world, now, server) {
+            request_reservation(world, key, server, effects);
+        }
     }
     next
 }
--- a/crates/snipespan_core/tests/gateway/announcements.rs
+++ b/crates/snipespan_core/tests/gateway/announcements.rs
@@ -440,8 +440,23 @@
     assert!(second.iter().all(|(_, server, _)| *server != backend_server));
 }
 
-/// Guards against a time limit of the orders to one request's task: a withdrawal for each of many
-/// answers would close the request.
+/// Guards against a reservation that is renewed at an engine that wants no requests, for a span that
+/// will not start; the other engines have not answered.
+#[test]
+fn unwanted_engine_of_a_span_that_is_not_sent_is_not_asked_again() {
+    let mut kit = Kit::new(8);
+    kit.arrive("/draft/1", LONG_PROMPT_TOKENS);
+    let first = reserved(&kit);
+    confirm(&mut kit, &first[..1]);
+    kit.step(vec![unwanted(first[0].2.instance_hash, Duration::from_secs(5))]);
+    kit.run_until(kit.now.after(Duration::from_millis(900)));
+    let renewed: Vec<_> = reserved(&kit).into_iter().map(|(_, server, _)| server).collect();
+    assert!(renewed.contains(&first[1].1), "the others are");
+    assert!(!renewed.contains(&first[0].1));
+}
+
+/// Guards against many answers that each withdraw the unsent attempts: a request whose task has too
+/// many orders is closed.
 #[test]
 fn unwanted_many_times_withdraws_once() {
     let mut kit = Kit::new(1);
