Look for a client that left before the next bytes of its answer

The orders to a request's task go first since unsent attempts are withdrawn, so that the branches of its `select!` are polled in a fixed order. The client's connection was polled last and would not be looked at while bytes keep coming without a pause. Not seen to happen; no test fails on the code before.

--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -236,7 +236,8 @@
         }
         loop {
             let event = tokio::select! {
-                // An order that withdraws an unsent attempt goes before sending it.
+                // An order that withdraws an unsent attempt goes before sending it, and a client that
+                // left before bytes that keep coming.
                 biased;
                 order = self.orders.recv() => match order {
                     Some(Order::DropUnsent) if exchange.is_unsent() => {
@@ -247,12 +248,12 @@
                     Some(Order::DropAttempt) => return AfterAttempt::Wait,
                     order => return AfterAttempt::Execute(order),
                 },
-                event = exchange.next() => event,
                 () = caller_disconnected(&mut self.output) => {
                     drop(exchange);
                     self.report_disconnect().await;
                     return AfterAttempt::Done;
                 }
+                event = exchange.next() => event,
             };
             let announcement = exchange.take_announcement();
             report_announcement(&self.cx.control, instance_hash, announcement).await;
