--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -199,10 +199,11 @@
         backend_server: CompactString,
         /// Name of its service.
         service: CompactString,
-        /// Its availability: ready, draining, lapsed or gone.
+        /// Its availability: ready, leaving (by an answer of its own), draining, lapsed or gone.
         availability: &'static str,
-        /// What caused the change: listed, left out: the table is full, listing changed, listing
-        /// lapsed with the store, listing removed, or not listed again.
+        /// What caused the change: listed, left out: the table is full, listing changed, new
+        /// incarnation, announced in an answer, listing lapsed with the store, listing removed, or
+        /// not listed again.
         cause: &'static str,
     },
     /// A backend server was suspended after failures, or a success ended its suspension.
@@ -214,6 +215,16 @@
         /// Failures since its last success.
         failures: u32,
     },
+    /// A backend server said that it wants no requests from this gateway for a while, or that time
+    /// is over.
+    RequestsUnwanted {
+        /// The backend server.
+        backend_server: CompactString,
+        /// Name of its service.
+        service: CompactString,
+        /// Time for which it gets none; `None` if it gets requests again.
+        unwanted_for: Option<Duration>,
+    },
     /// The store became unreachable or reachable again.
     StoreChanged {
         /// Whether it answers.
@@ -234,7 +245,7 @@
     SpanChanged {
         /// The request.
         id: CompactString,
-        /// The step: `reserve` or `no memory`.
+        /// The step: `reserve`, `no memory`, or `engine gone` when one no longer takes work.
         step: &'static str,
         /// Number of engines in the span.
         engines: usize,
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -11,6 +11,7 @@
 use crate::gateway::event::NotRunReason;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::health;
+use crate::gateway::systems::placing;
 use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::retry_budgets::RetryUse;
@@ -121,7 +122,7 @@
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
     world.counters.sends_not_run += 1;
     match reason {
-        NotRunReason::Refused | NotRunReason::Expired => {}
+        NotRunReason::Refused | NotRunReason::Expired | NotRunReason::Withdrawn => {}
         NotRunReason::OtherInstance | NotRunReason::Unreachable => {
             health::record_failure(world, now, work.backend_server, true, effects);
         }
@@ -139,7 +140,7 @@
     let Some(row) = world.requests.get_mut(request) else { return };
     row.last_code = Some(reason.code());
     // An attempt that reached no backend server added no load there and takes no retry budget.
-    let is_counted = !matches!(reason, NotRunReason::Unreachable | NotRunReason::Expired);
+    let is_counted = matches!(reason, NotRunReason::Refused | NotRunReason::OtherInstance);
     retry_request(world, now, request, is_counted, effects);
 }
 
@@ -151,7 +152,12 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some((request, work)) = withdraw_attempt(world, now, key, effects) else { return };
-    health::record_failure(world, now, work.backend_server, false, effects);
+    // One that turns requests away is not failing.
+    let server = world.backend_servers.rows.get(work.backend_server);
+    let is_turned_away = server.is_some_and(|server| server.is_unwanted(now));
+    if reason != FailReason::ServerError || !is_turned_away {
+        health::record_failure(world, now, work.backend_server, false, effects);
+    }
     if let Some(server) = world.backend_servers.rows.get(work.backend_server)
         && let Some(row) = world.requests.get(request)
     {
@@ -216,7 +222,7 @@
     let request = request_of(world, key)?;
     let work = world.work.get(key).copied()?;
     ending::close_attempt(world, now, request);
-    spans::release_reservations(world, request, effects);
+    spans::release_reservations(world, now, request, effects);
     let row = world.requests.get_mut(request)?;
     row.lifecycle.handle(&RequestEvent::AttemptReturned);
     row.avoid(work.backend_server);
@@ -232,6 +238,9 @@
     is_counted: bool,
     effects: &mut Vec<Effect>,
 ) {
+    if placing::refuse_if_unwanted(world, now, request, effects) {
+        return;
+    }
     match claim_retry(world, now, request, is_counted) {
         Ok(()) => world.schedule_placement(request, now),
         Err(obstacle) => {
--- a/crates/snipespan_core/src/gateway/systems/ending.rs
+++ b/crates/snipespan_core/src/gateway/systems/ending.rs
@@ -27,6 +27,9 @@
 /// a third of that time, which has passed in part when the answer arrives.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.32;
 
+/// Precision with which answers state the `Retry-After`.
+const RETRY_AFTER_STEP: Duration = Duration::from_millis(10);
+
 /// Returns the `Retry-After` for a client that is refused with `code` and has `remaining` left.
 pub fn retry_after(code: ResultCode, remaining: Duration) -> Duration {
     let limit = match code {
@@ -54,6 +57,21 @@
     end_with_wait(world, now, key, code, wait, effects);
 }
 
+/// Ends a request that no backend server takes before `return_at` like [`end_with_code`]. Its client
+/// should retry then, or after the longest time that clients honour, whichever is sooner.
+pub fn end_until(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    code: ResultCode,
+    return_at: Timestamp,
+    effects: &mut Vec<Effect>,
+) {
+    // Answers state hundredths of a second; rounded down, clients would return too early.
+    let wait = return_at.since(now).saturating_add(RETRY_AFTER_STEP);
+    end_with_wait(world, now, key, code, wait, effects);
+}
+
 /// Ends a request as [`end_with_code`] does; if it has not run, its client should retry after
 /// `wait`, or earlier if it would not honour that.
 pub fn end_with_wait(
@@ -87,7 +105,7 @@
     effects: &mut Vec<Effect>,
 ) {
     close_attempt(world, now, key);
-    spans::release_reservations(world, key, effects);
+    spans::release_reservations(world, now, key, effects);
     let Some(mut row) = world.requests.remove(key) else { return };
     row.lifecycle.handle(&RequestEvent::Finished);
     world.deadlines.remove(&(row.deadline, key));
--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -122,6 +122,7 @@
     let reservation = ReservationRequest {
         address: target.listing.address,
         instance: target.listing.id.clone(),
+        instance_hash: target.listing.instance_hash,
         ticket: ticket(world, key, row),
         tokens: engine_reservation.tokens,
         ttl: RESERVATION_TTL.min(world.settings.max_reservation_ttl),
@@ -129,8 +130,8 @@
     effects.push(Effect::Reserve { request: key, backend_server, reservation });
 }
 
-/// Applies answers to reservation requests and renews reservations; returns when the next renewal
-/// is due.
+/// Applies answers to reservation requests and renews reservations; returns when the next renewal,
+/// or the placement of a request whose span was given up, is due.
 pub fn run(
     world: &mut World,
     now: Timestamp,
@@ -142,7 +143,10 @@
             apply_answer(world, now, *request, *backend_server, *answer, effects);
         }
     }
-    renew_reservations(world, now, effects)
+    let renew_at = renew_reservations(world, now, effects);
+    // Requests are placed before this in a tick, so that its result does not include these.
+    let place_at = world.placement_queue.first().map(|(due, _)| *due);
+    [renew_at, place_at].into_iter().flatten().min()
 }
 
 fn apply_answer(
@@ -167,17 +171,7 @@
         ReservationAnswer::InsufficientMemory | ReservationAnswer::Unknown => {
             row.avoid(backend_server);
             row.last_code = Some(ResultCode::QueueFull);
-            let id = row.id.clone();
-            let engines = span_engines(row);
-            let step = "no memory";
-            effects.push(Effect::LogDecision(Box::new(Decision::SpanChanged {
-                id,
-                step,
-                engines,
-            })));
-            release_reservations(world, key, effects);
-            ending::close_attempt(world, now, key);
-            world.schedule_placement(key, now.after(RETRY_PAUSE));
+            abandon_span(world, now, key, "no memory", effects);
             return;
         }
     }
@@ -187,16 +181,44 @@
     }
 }
 
+/// Releases the memory of a span that was not sent, and schedules its request again.
+fn abandon_span(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    step: &'static str,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(row) = world.requests.get(key) else { return };
+    let id = row.id.clone();
+    let engines = span_engines(row);
+    effects.push(Effect::LogDecision(Box::new(Decision::SpanChanged { id, step, engines })));
+    release_reservations(world, now, key, effects);
+    ending::close_attempt(world, now, key);
+    world.schedule_placement(key, now.after(RETRY_PAUSE));
+}
+
+/// Returns whether an engine of a span still takes work; it may have left since it was chosen.
+fn takes_work(world: &World, now: Timestamp, server: BackendServerKey) -> bool {
+    let row = world.backend_servers.rows.get(server);
+    row.is_some_and(|row| row.accepts_work() && !row.is_unwanted(now))
+}
+
 fn span_engines(row: &Request) -> usize {
     row.span.as_ref().map_or(0, |span| span.reservations.len())
 }
 
 fn dispatch_span(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
-    let Some(row) = world.requests.get_mut(key) else { return };
+    let Some(row) = world.requests.get(key) else { return };
     let Some(span) = row.span.as_ref() else { return };
+    if !span.reservations.iter().all(|r| takes_work(world, now, r.backend_server)) {
+        abandon_span(world, now, key, "engine gone", effects);
+        return;
+    }
     let servers: Vec<_> = span.reservations.iter().map(|r| r.backend_server).collect();
     let Some(first) = servers.first().copied() else { return };
     let expected_first_event_ms = span.expected_first_event_ms;
+    let Some(row) = world.requests.get_mut(key) else { return };
     // The attempt replaces the reserved work at the first engine.
     if row.helper_work.is_empty() {
         return;
@@ -219,8 +241,14 @@
     placing::send_request(world, now, key, &plan, effects);
 }
 
-/// Frees all memory that is reserved for a request.
-pub fn release_reservations(world: &mut World, key: RequestKey, effects: &mut Vec<Effect>) {
+/// Frees all memory that is reserved for a request. A reservation that an engine did not confirm
+/// and that wants no requests since expires by itself.
+pub fn release_reservations(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    effects: &mut Vec<Effect>,
+) {
     let Some(row) = world.requests.get(key) else { return };
     let Some(span) = &row.span else { return };
     let ticket = ticket(world, key, row);
@@ -228,9 +256,13 @@
         let Some(target) = world.backend_servers.rows.get(reservation.backend_server) else {
             continue;
         };
+        if target.is_unwanted(now) && !reservation.is_confirmed {
+            continue;
+        }
         let address = target.listing.address;
         let instance = target.listing.id.clone();
-        effects.push(Effect::Release { address, instance, ticket: ticket.clone() });
+        let instance_hash = target.listing.instance_hash;
+        effects.push(Effect::Release { address, instance, instance_hash, ticket: ticket.clone() });
     }
     if let Some(row) = world.requests.get_mut(key) {
         row.span = None;
@@ -253,7 +285,11 @@
         next = Some(span.renew_at.or_sooner(next));
     }
     for (key, server) in due {
-        request_reservation(world, key, server, effects);
+        let is_running = world.requests.get(key).is_some_and(|row| row.work.is_some());
+        // A span that is not sent is given up once the other engines have answered.
+        if is_running || takes_work(world, now, server) {
+            request_reservation(world, key, server, effects);
+        }
     }
     next
 }
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::effect::Effect;
 use crate::gateway::event::Event;
+use crate::gateway::systems::announcements;
 use crate::gateway::systems::arrivals;
 use crate::gateway::systems::attempts;
 use crate::gateway::systems::expiry;
@@ -32,6 +33,7 @@
     let mut effects = Vec::new();
     pauses::run(world, now, &mut effects);
     let list_at = membership::run(world, now, events, &mut effects);
+    let return_at = announcements::run(world, now, events, &mut effects);
     serving::run(world, now, events, &mut effects);
     peers::run(world, now, events, &mut effects);
     prompt_parts::run(world, now, events, &mut effects);
@@ -43,8 +45,17 @@
     let span_at = spans::run(world, now, events, &mut effects);
     let stop_at = process::run(world, now, events, &mut effects);
     let notify_at = notifications::run(world, now, &mut effects);
-    let due =
-        [list_at, follow_at, refuse_at, expire_at, place_at, span_at, stop_at, Some(notify_at)];
+    let due = [
+        list_at,
+        return_at,
+        follow_at,
+        refuse_at,
+        expire_at,
+        place_at,
+        span_at,
+        stop_at,
+        Some(notify_at),
+    ];
     let wake_at = due.into_iter().flatten().min();
     world.wake_planned = wake_at;
     Tick { effects, wake_at }
