Probe a part at once if another blocked one met all of its crashes

All four crashes before the block were those of one client's request, and no answer with the account's own part had been sound for 30 s, so that both parts of the prompt were blocked, with the same crashes and a raised hold.

At most one of two such parts is the cause. A request with only one of them shows which, so that it is sent as a probe without waiting for the hold; and the fourth crash of a single request no longer raises the hold. part_with_the_crashes_of_another_one_is_probed_at_once guards it.

--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -174,17 +174,21 @@
     let row = world.requests.get(request)?;
     let suspects = row.parts.iter().filter_map(|part| world.suspects.get(*part));
     let blocked: Vec<_> = suspects.filter(|suspect| suspect.is_blocked()).collect();
+    let is_alone = blocked.len() == 1;
     let waits = blocked.iter().filter_map(|suspect| {
         if suspect.probe.is_some_and(|probe| probe.request == Some(request)) {
             return None;
         }
-        let from = suspect.probe_from()?;
+        let from = match is_alone && is_explained(world, suspect) {
+            true => suspect.crashes.last()?.at.max(suspect.probe_end()),
+            false => suspect.probe_from()?,
+        };
         // A probe of several parts at once shows less than one of each, so it comes last.
-        let turn = match blocked.len() {
+        let turn = match is_alone {
             // The turn is looked up only once a gateway may probe.
-            1 if from <= now => probe_turn(world, now, suspect.part),
-            1 => 0,
-            _ => MAX_PROBE_TURNS,
+            true if from <= now => probe_turn(world, now, suspect.part),
+            true => 0,
+            false => MAX_PROBE_TURNS,
         };
         let from = from.after(PROBE_TURN * turn);
         (from > now).then(|| from.since(now))
@@ -192,6 +196,13 @@
     waits.max()
 }
 
+/// Returns whether another blocked part met all crashes of this one. At most one of the two is the
+/// cause, and a prompt with only one of them shows which, so it is worth a probe at once.
+fn is_explained(world: &World, suspect: &Suspect) -> bool {
+    let mut others = world.suspects.rows.iter().map(|(_, row)| row);
+    others.any(|other| other.is_blocked() && suspect.is_explained_by(other))
+}
+
 /// Returns the number of gateways that may probe a part before this one.
 fn probe_turn(world: &World, now: Timestamp, part: PromptPart) -> u32 {
     let order = |rank: u64| xxh3_64(&(rank ^ part.0).to_le_bytes());
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -159,11 +159,23 @@
     /// Returns the time from which a blocked part may be probed; `None` if it is not blocked.
     pub fn probe_from(&self) -> Option<Timestamp> {
         let last = self.crashes.last().filter(|_| self.is_blocked())?;
-        let raised = (self.crashes.len() - self.crashes_to_block()) as u32;
+        // The crashes of one request may be one more than it takes to block the part.
+        let raised = self.crashes.len().saturating_sub(self.crashes_to_block() + 1) as u32;
         let held_until = last.at.after((FIRST_HOLD * HOLD_FACTOR.pow(raised)).min(MAX_HOLD));
-        let after_probe =
-            self.probe.map_or(Timestamp::ZERO, |probe| probe.began.after(PROBE_TIMEOUT));
-        Some(held_until.max(after_probe))
+        Some(held_until.max(self.probe_end()))
+    }
+
+    /// Returns the time until which the outcome of the last probe is waited for.
+    pub fn probe_end(&self) -> Timestamp {
+        self.probe.map_or(Timestamp::ZERO, |probe| probe.began.after(PROBE_TIMEOUT))
+    }
+
+    /// Returns whether another part met all of its crashes as well.
+    pub fn is_explained_by(&self, other: &Self) -> bool {
+        let met = |crash: &Crash| {
+            other.crashes.iter().any(|known| known.instance_hash == crash.instance_hash)
+        };
+        self.part != other.part && self.crashes.iter().all(met)
     }
 
     /// Returns whether the row is no longer needed.
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -248,3 +248,21 @@
     });
     assert!(told);
 }
+
+/// Guards against a sound part that stays blocked because it came only with the crashing one: a
+/// prompt with it alone shows that it is sound.
+#[test]
+fn part_with_the_crashes_of_another_one_is_probed_at_once() {
+    let shared = PromptPart(1);
+    let mut kit = Kit::new(9);
+    (0..3).for_each(|_| crash(&mut kit, &[shared, PART]));
+    assert!(is_blocked(&kit, shared) && is_blocked(&kit, PART));
+    arrive_with(&mut kit, "/draft/1", &[shared, PART]);
+    assert_eq!(kit.refused(), [ResultCode::PromptPartBlocked]);
+    arrive_with(&mut kit, "/draft/1", &[shared]);
+    let work = kit.sent_one().work;
+    arrive_with(&mut kit, "/draft/1", &[shared]);
+    assert_eq!(kit.refused(), [ResultCode::PromptPartBlocked], "one probe at a time");
+    kit.step(vec![Event::AttemptCompleted { work, longest_gap: Duration::ZERO }]);
+    assert!(is_blocked(&kit, PART) && !is_blocked(&kit, shared));
+}
