--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -140,27 +140,28 @@
         }
     }
 
-    const fn crashes_to_block(&self) -> usize {
-        match self.was_sound {
+    /// Returns the number of crashes that block the part. While all are those of one request, it is
+    /// one more: a sound request may meet several.
+    fn crashes_to_block(&self) -> usize {
+        let count = match self.was_sound {
             true => CRASHES_TO_BLOCK_SOUND,
             false => CRASHES_TO_BLOCK,
-        }
+        };
+        let mut requests = self.crashes.iter().map(|crash| crash.request_hash);
+        let first = requests.next();
+        let is_of_several = requests.any(|request| Some(request) != first);
+        count + usize::from(!is_of_several)
     }
 
-    /// Returns whether requests with the part are refused, apart from probes. While all crashes are
-    /// those of one request, it takes one more: a sound one may meet several.
+    /// Returns whether requests with the part are refused, apart from probes.
     pub fn is_blocked(&self) -> bool {
-        let Some(first) = self.crashes.first() else { return false };
-        let is_other = |crash: &Crash| crash.request_hash != first.request_hash;
-        let is_of_several = self.crashes.iter().any(is_other);
-        self.crashes.len() >= self.crashes_to_block() + usize::from(!is_of_several)
+        self.crashes.len() >= self.crashes_to_block()
     }
 
     /// Returns the time from which a blocked part may be probed; `None` if it is not blocked.
     pub fn probe_from(&self) -> Option<Timestamp> {
         let last = self.crashes.last().filter(|_| self.is_blocked())?;
-        // The crashes of one request may be one more than it takes to block the part.
-        let raised = self.crashes.len().saturating_sub(self.crashes_to_block() + 1) as u32;
+        let raised = (self.crashes.len() - self.crashes_to_block()) as u32;
         let held_until = last.at.after((FIRST_HOLD * HOLD_FACTOR.pow(raised)).min(MAX_HOLD));
         Some(held_until.max(self.probe_end()))
     }
