Gateway: try another port when the one chosen for TCP is taken for UDP

Cause: the system chooses a port that is free for TCP, and the UDP socket then needs the same number, which another process may hold, for example the QUIC socket of a test.

The choice is repeated, 16 times at most, only if the port is left to the system. A port that the settings name fails as before.

--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -38,6 +38,10 @@
 /// Maximum time to connect to a peer, and maximum time for its answer, which it has in memory.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Number of ports to try if the settings leave the choice to the system, which picks one that is
+/// free for TCP; another process may hold its number for UDP.
+const MAX_PORT_CHOICES: usize = 16;
+
 const SERVING_PATH: &str = "/serving";
 const METRICS_PATH: &str = "/metrics";
 
@@ -60,9 +64,8 @@
 impl PeerLink {
     /// Opens the TCP and the UDP socket on the same address and port.
     pub(super) async fn bind(role: &GatewayRole, cx: Arc<GatewayContext>) -> Result<Self> {
-        let listener = TcpListener::bind(role.peers_listen).await?;
+        let (listener, socket) = bind_both(role.peers_listen).await?;
         let address = listener.local_addr()?;
-        let socket = StdUdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         let sender = socket.try_clone()?;
         let datagrams = UdpSocket::from_std(socket)?;
@@ -109,6 +112,20 @@
     }
 }
 
+/// Opens a TCP and a UDP socket on the same address; on the same port too if it is 0.
+async fn bind_both(address: SocketAddr) -> Result<(TcpListener, StdUdpSocket)> {
+    let mut choices_left = if address.port() == 0 { MAX_PORT_CHOICES } else { 1 };
+    loop {
+        let listener = TcpListener::bind(address).await?;
+        choices_left -= 1;
+        match StdUdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(e) if e.kind() == ErrorKind::AddrInUse && choices_left > 0 => {}
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
 async fn receive_datagrams(datagrams: UdpSocket, cx: Arc<GatewayContext>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
