Fakes: replicas and proxy play unframed answers, silence, trickles, crashes and notices

A replica of the users' platform may send an answer that ends with its connection, fall silent within a stream and go on, spread an event over time, send only comments, say that it leaves or wants nothing, and end when it begins to answer a prompt with a deadly part. The proxy may stop to listen, resets connections where it used to close them, since an orderly close is the end of an answer without a length, and tells who called.

--- a/crates/snipespan_fakes/src/fault_proxy.rs
+++ b/crates/snipespan_fakes/src/fault_proxy.rs
@@ -1,6 +1,11 @@
 //! A TCP proxy between two processes that injects faults into their connections.
 
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use eyre::Result;
@@ -11,6 +16,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::sync::lock;
+
+/// Delay before another try to listen again at an address.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Size of the buffer of each direction of a connection, in bytes.
 const COPY_BYTES: usize = 65_536;
 
@@ -24,8 +34,10 @@
     Delay(Duration),
     /// Holds all bytes back until the fault changes; connections stay open.
     Freeze,
-    /// Closes all connections, and new ones as soon as they are accepted.
+    /// Resets all connections, and closes new ones as soon as they are accepted.
     Disconnect,
+    /// Resets all connections and listens no more, as after the end of the process behind it.
+    Down,
 }
 
 /// A running proxy, which stops and closes its connections when it is dropped.
@@ -33,20 +45,41 @@
 pub struct FaultProxy {
     address: SocketAddr,
     fault: watch::Sender<Fault>,
+    target: Arc<Mutex<SocketAddr>>,
+    callers: Callers,
     task: JoinHandle<()>,
 }
 
+/// Address of the caller of each open connection, by the proxy's own address towards the target.
+type Callers = Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>;
+
 impl FaultProxy {
     /// Starts a proxy for TCP connections to `target` on a free port of 127.0.0.1.
     ///
     /// # Errors
     /// When no port can be bound.
     pub async fn start(target: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        Self::start_at(IpAddr::V4(Ipv4Addr::LOCALHOST), target).await
+    }
+
+    /// Starts a proxy for TCP connections to `target` on a free port of `ip`.
+    ///
+    /// # Errors
+    /// When no port can be bound.
+    pub async fn start_at(ip: IpAddr, target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let (fault, rx) = watch::channel(Fault::None);
-        let task = tokio::spawn(accept_connections(listener, target, rx));
-        Ok(Self { address, fault, task })
+        let callers = Callers::default();
+        let target = Arc::new(Mutex::new(target));
+        let running = run_proxy(listener, Arc::clone(&target), rx, Arc::clone(&callers));
+        let task = tokio::spawn(running);
+        Ok(Self { address, fault, target, callers, task })
+    }
+
+    /// Returns the address of the caller whose open connection the target sees as one from `own`.
+    pub fn caller_of(&self, own: SocketAddr) -> Option<SocketAddr> {
+        lock(&self.callers).get(&own).copied()
     }
 
     /// Returns the address on which it listens.
@@ -54,6 +87,11 @@
         self.address
     }
 
+    /// Sets the address to which new connections are forwarded.
+    pub fn set_target(&self, target: SocketAddr) {
+        *lock(&self.target) = target;
+    }
+
     /// Sets the fault, for open connections too.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.send_replace(fault);
@@ -66,42 +104,92 @@
     }
 }
 
-/// Accepts connections and forwards each in both directions until both have ended, or until
-/// [`Fault::Disconnect`].
+/// Accepts connections; listens no more while the fault is [`Fault::Down`].
+async fn run_proxy(
+    mut listener: TcpListener,
+    target: Arc<Mutex<SocketAddr>>,
+    mut fault: watch::Receiver<Fault>,
+    callers: Callers,
+) {
+    let Ok(address) = listener.local_addr() else { return };
+    loop {
+        let mut down = fault.clone();
+        tokio::select! {
+            () = accept_connections(&listener, &target, &fault, &callers) => return,
+            () = wait_until(&mut down, |fault| fault == Fault::Down) => drop(listener),
+        }
+        wait_until(&mut fault, |fault| fault != Fault::Down).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(e) => log::warn!("the proxy at {address} could not listen again: {e}"),
+            }
+            tokio::time::sleep(LISTEN_RETRY_DELAY).await;
+        };
+    }
+}
+
+/// Accepts connections and forwards each in both directions until both have ended, or until the
+/// fault resets it.
 async fn accept_connections(
-    listener: TcpListener,
-    target: SocketAddr,
-    fault: watch::Receiver<Fault>,
+    listener: &TcpListener,
+    target: &Mutex<SocketAddr>,
+    fault: &watch::Receiver<Fault>,
+    callers: &Callers,
 ) {
-    while let Ok((client, _)) = listener.accept().await {
-        let mut fault = fault.clone();
+    while let Ok((client, caller)) = listener.accept().await {
+        let fault = fault.clone();
+        let callers = Arc::clone(callers);
+        let target = *lock(target);
         tokio::spawn(async move {
-            let is_disconnected = *fault.borrow() == Fault::Disconnect;
-            if is_disconnected {
+            if resets(*fault.borrow()) {
                 return;
             }
             let Ok(server) = TcpStream::connect(target).await else { return };
-            let (client_reader, client_writer) = client.into_split();
-            let (server_reader, server_writer) = server.into_split();
-            let requests = forward_bytes(client_reader, server_writer, fault.clone());
-            let answers = forward_bytes(server_reader, client_writer, fault.clone());
-            let both = async { tokio::join!(requests, answers) };
-            tokio::select! {
-                _ = both => {}
-                () = wait_for_fault(&mut fault, Fault::Disconnect) => {}
+            let own = server.local_addr().ok();
+            if let Some(own) = own {
+                lock(&callers).insert(own, caller);
+            }
+            forward_connection(client, server, fault).await;
+            if let Some(own) = own {
+                lock(&callers).remove(&own);
             }
         });
     }
 }
 
-/// Waits until the fault is `wanted` or the proxy is dropped.
-async fn wait_for_fault(fault: &mut watch::Receiver<Fault>, wanted: Fault) {
-    let _ = fault.wait_for(|fault| *fault == wanted).await;
+async fn forward_connection(
+    mut client: TcpStream,
+    mut server: TcpStream,
+    mut fault: watch::Receiver<Fault>,
+) {
+    let is_reset = {
+        let (client_reader, client_writer) = client.split();
+        let (server_reader, server_writer) = server.split();
+        let requests = forward_bytes(client_reader, server_writer, fault.clone());
+        let answers = forward_bytes(server_reader, client_writer, fault.clone());
+        tokio::select! {
+            _ = async { tokio::join!(requests, answers) } => false,
+            () = wait_until(&mut fault, resets) => true,
+        }
+    };
+    if is_reset {
+        // An orderly close would look like the end of an answer that has no length.
+        for stream in [client, server] {
+            if let Err(e) = stream.set_zero_linger() {
+                log::debug!("a connection of the proxy is closed, not reset: {e}");
+            }
+        }
+    }
+}
+
+const fn resets(fault: Fault) -> bool {
+    matches!(fault, Fault::Disconnect | Fault::Down)
 }
 
-/// Waits until the fault is not [`Fault::Freeze`] or the proxy is dropped.
-async fn wait_until_unfrozen(fault: &mut watch::Receiver<Fault>) {
-    let _ = fault.wait_for(|fault| *fault != Fault::Freeze).await;
+/// Waits until the fault fulfils the condition or the proxy is dropped.
+async fn wait_until(fault: &mut watch::Receiver<Fault>, condition: fn(Fault) -> bool) {
+    let _ = fault.wait_for(|fault| condition(*fault)).await;
 }
 
 /// Forwards the bytes of one direction until it ends, and then shuts the writer down.
@@ -112,7 +200,7 @@
 ) {
     let mut buf = vec![0; COPY_BYTES];
     while let Ok(read) = reader.read(&mut buf).await {
-        wait_until_unfrozen(&mut fault).await;
+        wait_until(&mut fault, |fault| fault != Fault::Freeze).await;
         let now = *fault.borrow();
         if let Fault::Delay(delay) = now {
             tokio::time::sleep(delay).await;
--- a/crates/snipespan_fakes/src/server.rs
+++ b/crates/snipespan_fakes/src/server.rs
@@ -32,7 +32,8 @@
             }
         });
         let task = tokio::spawn(async move {
-            let served = axum::serve(listener, router).await;
+            let service = router.into_make_service_with_connect_info::<SocketAddr>();
+            let served = axum::serve(listener, service).await;
             if let Err(e) = served {
                 log::warn!("the HTTP server of the fake at {address} failed: {e}");
             }
--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -12,12 +12,17 @@
 use axum::Router;
 use axum::body::Body;
 use axum::body::Bytes;
+use axum::extract::ConnectInfo;
+use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::HeaderValue;
 use axum::http::Method;
 use axum::http::StatusCode;
 use axum::http::Uri;
+use axum::http::Version;
+use axum::middleware;
+use axum::middleware::Next;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::post;
@@ -25,6 +30,7 @@
 use futures_util::stream;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::mpsc;
 
 use crate::server::Server;
 use crate::sync::lock;
@@ -32,6 +38,9 @@
 /// Prefix of the paths that are answered with a stream of events.
 pub const STREAM_PATH_PREFIX: &str = "/stream/";
 
+/// Part of a prompt that ends each replica that begins to write an answer to it.
+pub const DEADLY_PART: &str = "dead";
+
 /// Identity, speed and capacity of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
@@ -72,6 +81,31 @@
     SkipsEvent,
     /// Neither answers orders to reserve or release memory nor carries them out.
     OrdersUnanswered,
+    /// Sends answers without length or chunks, which end with their connection.
+    Unframed,
+    /// Streams nothing for this time after the second event, and then goes on.
+    Pauses(Duration),
+    /// Spreads each event of a stream over this time, some bytes at a time.
+    Trickles(Duration),
+    /// Streams comments and never an event.
+    SendsComments,
+}
+
+impl ReplicaFault {
+    /// Returns whether a replica with this fault serves its requests completely.
+    pub const fn is_sound(self) -> bool {
+        matches!(self, Self::None | Self::Unframed | Self::Pauses(_) | Self::Trickles(_))
+    }
+}
+
+/// What a replica says of itself in its answers, which tests may change while it runs.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaNotice {
+    /// Whether all its answers say that it is leaving.
+    pub is_leaving: bool,
+    /// Values of the field `retry-after`, a line each, with which it refuses all requests and
+    /// orders; it refuses none if there are none.
+    pub retry_after: Vec<String>,
 }
 
 /// One execution of a request.
@@ -85,6 +119,8 @@
     pub body: Vec<u8>,
     /// Headers of the request.
     pub headers: HeaderMap,
+    /// Address from which it came.
+    pub peer: SocketAddr,
     /// Start of the execution.
     pub began: Instant,
     /// Time at which the caller disconnected before the execution had ended.
@@ -93,10 +129,27 @@
     pub is_done: bool,
 }
 
+/// A refusal with the field `retry-after`.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Id of the request, from the header `attempt-id`; empty without one.
+    pub request: String,
+    /// Time at which it arrived.
+    pub at: Instant,
+    /// Value of the field, in seconds; 0 if it is no number.
+    pub retry_after: Duration,
+}
+
 #[derive(Debug)]
 struct Shared {
     config: ReplicaConfig,
     fault: Mutex<ReplicaFault>,
+    notice: Mutex<ReplicaNotice>,
+    /// Times at which requests and orders arrived.
+    arrivals: Mutex<Vec<Instant>>,
+    refusals: Mutex<Vec<Refusal>>,
+    /// Time at which [`DEADLY_PART`] ended the replica, which answers nothing since.
+    crashed: Mutex<Option<Instant>>,
     runs: Mutex<Vec<Run>>,
     /// Reserved tokens and time of expiry of each reservation, by id.
     reservations: Mutex<BTreeMap<String, (u64, Instant)>>,
@@ -119,12 +172,17 @@
         let shared = Arc::new(Shared {
             config,
             fault: Mutex::default(),
+            notice: Mutex::default(),
+            arrivals: Mutex::default(),
+            refusals: Mutex::default(),
+            crashed: Mutex::default(),
             runs: Mutex::default(),
             reservations: Mutex::default(),
         });
         let router = Router::new()
             .route("/snipespan/order", post(handle_order))
             .fallback(handle_request)
+            .layer(middleware::from_fn_with_state(Arc::clone(&shared), add_notice))
             .with_state(Arc::clone(&shared));
         let server = Server::start(router, address).await?;
         Ok(Self { shared, server })
@@ -155,6 +213,26 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Sets what it says of itself.
+    pub fn set_notice(&self, notice: ReplicaNotice) {
+        *lock(&self.shared.notice) = notice;
+    }
+
+    /// Returns the times at which requests and orders arrived, refused ones included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.arrivals).clone()
+    }
+
+    /// Returns the refusals with the field `retry-after`.
+    pub fn refusals(&self) -> Vec<Refusal> {
+        lock(&self.shared.refusals).clone()
+    }
+
+    /// Returns the time at which [`DEADLY_PART`] ended it.
+    pub fn crashed(&self) -> Option<Instant> {
+        *lock(&self.shared.crashed)
+    }
+
     /// Returns all executions so far, in the order of their start.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -175,6 +253,7 @@
         self: &Arc<Self>,
         request: &str,
         target: String,
+        peer: SocketAddr,
         headers_and_body: (HeaderMap, Bytes),
     ) -> RunGuard {
         let (headers, body) = headers_and_body;
@@ -184,6 +263,7 @@
             target,
             body: body.to_vec(),
             headers,
+            peer,
             began: Instant::now(),
             cancelled: None,
             is_done: false,
@@ -192,6 +272,18 @@
     }
 }
 
+impl Shared {
+    fn record_refusal(&self, headers: &HeaderMap) {
+        let request = headers.get("attempt-id").and_then(|value| value.to_str().ok());
+        let seconds = lock(&self.notice).retry_after.first().and_then(|text| text.parse().ok());
+        lock(&self.refusals).push(Refusal {
+            request: request.unwrap_or_default().to_owned(),
+            at: Instant::now(),
+            retry_after: Duration::from_secs(seconds.unwrap_or_default()),
+        });
+    }
+}
+
 /// Records how an execution ends: as done by [`Self::finish`], or as cancelled if it is dropped
 /// before that because the caller disconnected.
 struct RunGuard {
@@ -217,6 +309,35 @@
     }
 }
 
+/// Records the arrival of a request or an order, refuses it if the notice says so, and adds the
+/// notice to the answer.
+async fn add_notice(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
+    lock(&shared.arrivals).push(Instant::now());
+    if lock(&shared.crashed).is_some() {
+        std::future::pending::<()>().await;
+    }
+    let is_refused = !lock(&shared.notice).retry_after.is_empty();
+    if is_refused {
+        shared.record_refusal(req.headers());
+    }
+    let mut response = match is_refused {
+        true => empty_response(StatusCode::SERVICE_UNAVAILABLE, &[("not-executed", "1")]),
+        false => next.run(req).await,
+    };
+    let notice = lock(&shared.notice).clone();
+    let fields = response.headers_mut();
+    if notice.is_leaving {
+        fields.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    if is_refused {
+        let values = notice.retry_after.iter().filter_map(|text| HeaderValue::from_str(text).ok());
+        for value in values {
+            fields.append("retry-after", value);
+        }
+    }
+    response
+}
+
 /// Reserves or releases memory. Answers 400 to an unknown operation or a reservation larger than
 /// the total memory, and 409 if the free memory is insufficient. The answer to a release gives the
 /// free memory as 0, whatever it is.
@@ -256,6 +377,7 @@
 /// Answers health checks, refuses requests that it must not run, and runs the others.
 async fn handle_request(
     State(shared): State<Arc<Shared>>,
+    ConnectInfo(peer): ConnectInfo<SocketAddr>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -280,7 +402,7 @@
     }
     let request = text("attempt-id").unwrap_or_default().to_owned();
     let last: u64 = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-    let run = shared.start_run(&request, format!("{method} {uri}"), (headers.clone(), body));
+    let run = shared.start_run(&request, format!("{method} {uri}"), peer, (headers.clone(), body));
     let attempt_id = if fault == ReplicaFault::WrongAttemptId { "another" } else { &request };
     let mut response = match fault {
         ReplicaFault::NeverAnswers => std::future::pending().await,
@@ -290,10 +412,19 @@
             (StatusCode::INTERNAL_SERVER_ERROR, "broken").into_response()
         }
         _ if uri.path().starts_with(STREAM_PATH_PREFIX) => {
+            if has_deadly_part(&headers) {
+                tokio::time::sleep(shared.config.pause).await;
+                lock(&shared.crashed).get_or_insert(Instant::now());
+                std::future::pending::<()>().await;
+            }
             stream_response(&shared, run, fault, last)
         }
         _ => plain_response(&shared, run, fault, &request).await,
     };
+    if fault == ReplicaFault::Unframed {
+        // The HTTP library then sends neither a length nor chunks.
+        *response.version_mut() = Version::HTTP_10;
+    }
     let fields = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(attempt_id) {
         fields.insert("attempt-id", value);
@@ -306,6 +437,13 @@
     response
 }
 
+/// Returns whether one of the parts of a prompt, a list of `ID:TOKENS`, is [`DEADLY_PART`].
+fn has_deadly_part(headers: &HeaderMap) -> bool {
+    let prefix = headers.get("prompt-prefix").and_then(|value| value.to_str().ok());
+    let parts = prefix.into_iter().flat_map(|prefix| prefix.split(','));
+    parts.filter_map(|part| part.split(':').next()).any(|id| id.trim() == DEADLY_PART)
+}
+
 /// Answers a request to a plain service after the pause.
 async fn plain_response(
     shared: &Shared,
@@ -322,6 +460,10 @@
             let parts = [Ok(partial), Err(std::io::Error::other("the fake breaks the connection"))];
             Body::from_stream(stream::iter(parts)).into_response()
         }
+        ReplicaFault::Unframed => {
+            let parts = [Ok::<_, std::io::Error>(Bytes::from(body))];
+            Body::from_stream(stream::iter(parts)).into_response()
+        }
         _ => body.into_response(),
     }
 }
@@ -336,42 +478,76 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
+/// Number of parts in which [`ReplicaFault::Trickles`] sends an event.
+const TRICKLE_PARTS: u32 = 8;
+
 /// Answers with the events after the one with the id `last`, each after the pause.
 fn stream_response(shared: &Shared, run: RunGuard, fault: ReplicaFault, last: u64) -> Response {
-    let events = shared.config.events;
-    let pause = shared.config.pause;
-    let state = (run, last, 0u64);
-    let parts = stream::unfold(Some(state), move |state| async move {
-        let (run, last, sent) = state?;
-        tokio::time::sleep(pause).await;
-        if last >= events {
-            run.finish();
-            return None;
-        }
-        let next = last + 1;
-        if let ReplicaFault::Disconnects(after) = fault
-            && sent >= after
-        {
-            run.finish();
-            let partial = stream_event(next).into_bytes()[..5].to_vec();
-            return match sent == after {
-                true => Some((Ok(Bytes::from(partial)), Some((run, last, sent + 1)))),
-                false => Some((Err(std::io::Error::other("the fake breaks the connection")), None)),
-            };
+    let (tx, rx) = mpsc::channel(1);
+    let (events, pause) = (shared.config.events, shared.config.pause);
+    // Ends when the caller disconnects, as the channel then takes no more parts.
+    tokio::spawn(async move {
+        let sending = send_events(&tx, &run, fault, (last, events), pause);
+        tokio::select! {
+            _ = sending => {}
+            () = tx.closed() => {}
         }
-        let is_skipped = fault == ReplicaFault::SkipsEvent && next == 2;
-        let bytes = if is_skipped { Bytes::new() } else { Bytes::from(stream_event(next)) };
-        if next == events {
-            run.finish();
-        }
-        Some((Ok(bytes), Some((run, next, sent + 1))))
     });
+    let parts = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
     let mut response = Body::from_stream(parts).into_response();
     let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert("content-type", kind);
     response
 }
 
+type PartSender = mpsc::Sender<std::io::Result<Bytes>>;
+
+/// Sends the events after the first number up to the second one; `None` if nobody receives them.
+async fn send_events(
+    tx: &PartSender,
+    run: &RunGuard,
+    fault: ReplicaFault,
+    (last, events): (u64, u64),
+    pause: Duration,
+) -> Option<()> {
+    let send = async |part: &[u8]| tx.send(Ok(Bytes::copy_from_slice(part))).await.ok();
+    for (sent, id) in (last + 1..=events).enumerate() {
+        tokio::time::sleep(pause).await;
+        let event = stream_event(id).into_bytes();
+        match fault {
+            ReplicaFault::Disconnects(after) if sent as u64 >= after => {
+                run.finish();
+                send(&event[..5]).await?;
+                tokio::time::sleep(pause).await;
+                let error = std::io::Error::other("the fake breaks the connection");
+                return tx.send(Err(error)).await.ok();
+            }
+            ReplicaFault::SkipsEvent if id == 2 => {}
+            ReplicaFault::SendsComments => loop {
+                send(b":\n\n").await?;
+                tokio::time::sleep(pause).await;
+            },
+            ReplicaFault::Trickles(duration) => {
+                for part in event.chunks(event.len().div_ceil(TRICKLE_PARTS as usize)) {
+                    send(part).await?;
+                    tokio::time::sleep(duration / TRICKLE_PARTS).await;
+                }
+            }
+            ReplicaFault::Pauses(duration) if id == 3 => {
+                tokio::time::sleep(duration).await;
+                send(&event).await?;
+            }
+            _ => send(&event).await?,
+        }
+        if id == events {
+            run.finish();
+        }
+    }
+    tokio::time::sleep(pause).await;
+    run.finish();
+    Some(())
+}
+
 /// Returns a response with the headers `fields` and without a body.
 fn empty_response(status: StatusCode, fields: &[(&'static str, &str)]) -> Response {
     let mut response = status.into_response();
--- a/crates/snipespan_fakes/src/users_platform/store.rs
+++ b/crates/snipespan_fakes/src/users_platform/store.rs
@@ -94,13 +94,21 @@
     /// # Errors
     /// When no port can be bound.
     pub async fn start() -> Result<Self> {
+        Self::start_at(None).await
+    }
+
+    /// Starts an empty store on `address`, or on a free port of 127.0.0.1 if it is `None`.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn start_at(address: Option<SocketAddr>) -> Result<Self> {
         let shared = Arc::new(Shared::default());
         let router = Router::new()
             .route("/snipespan/rows-get", get(rows_get))
             .route("/snipespan/rows-feed", get(rows_feed))
             .route("/snipespan/rows-tx", post(rows_tx))
             .with_state(Arc::clone(&shared));
-        let server = Server::start(router, None).await?;
+        let server = Server::start(router, address).await?;
         Ok(Self { shared, server })
     }
 
