Soak: a run has loopback addresses of its own, and replicas ids of their own

A run claims a block of 127.64.0.0/10 by a guard port that it holds to its end. Fakes and gateways listen only there; gateways have fixed ports below the range from which the system chooses, so that a restarted gateway is found where it was. No process outside the run is given one of its addresses. Ids of replicas name the run. A run without a request id is reported with its target, headers and the addresses of its connection; it stays a violation.

--- a/crates/snipespan_soak/src/checks.rs
+++ b/crates/snipespan_soak/src/checks.rs
@@ -69,6 +69,8 @@
 pub struct ObservedRun {
     /// Id of the request.
     pub id: String,
+    /// Target, headers and addresses of a run without an id; otherwise empty.
+    pub origin: String,
     /// Index of the replica.
     pub replica: usize,
     /// Time at which the run began.
@@ -268,7 +270,7 @@
         if !history.requests.iter().any(|request| request.id == run.id) {
             report(
                 "only requests that a client sent run",
-                format!("request {} ran, but no client sent it", run.id),
+                format!("request {:?} ran, but no client sent it; {}", run.id, run.origin),
             );
         }
     }
--- a/crates/snipespan_soak/src/gateway.rs
+++ b/crates/snipespan_soak/src/gateway.rs
@@ -20,6 +20,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
+use crate::addresses::GatewayAddresses;
+
 /// Maximum duration of a planned stop: `stop_limit` of the settings, 8 seconds, plus a margin for a
 /// busy machine.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,16 +37,24 @@
 }
 
 impl Gateway {
-    /// Writes the settings of a gateway that reaches the store at `store`, and starts it.
+    /// Writes the settings of a gateway that listens at `listen` and reaches the store at `store`,
+    /// and starts it.
     ///
     /// # Errors
     /// When the settings cannot be written or the process does not start.
-    pub fn start(daemon: &Path, folder: &Path, name: &str, store: SocketAddr) -> Result<Self> {
+    pub fn start(
+        daemon: &Path,
+        folder: &Path,
+        name: &str,
+        listen: GatewayAddresses,
+        store: SocketAddr,
+    ) -> Result<Self> {
         let config = folder.join(format!("{name}.ini"));
+        let GatewayAddresses { clients, ready, peers } = listen;
         let text = format!(
             "[process]\nrole = gateway\nvm = {name}\ndata_centre = graz-a\ntraffic_threads = 1\n\
-             [gateway]\nclients_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
-             peers_listen = 127.0.0.1:0\nstore = {store}\nretry_ratio = 0.2\n\
+             [gateway]\nclients_listen = {clients}\nready_listen = {ready}\n\
+             peers_listen = {peers}\nstore = {store}\nretry_ratio = 0.2\n\
              retry_slack = 1000\nstop_limit = 8s\nfeed_wait = 1s\n"
         );
         std::fs::write(&config, text)?;
--- a/crates/snipespan_soak/src/lib.rs
+++ b/crates/snipespan_soak/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! A seed fixes the plan of faults and requests. Faults come in series and overlap.
 
+pub mod addresses;
 pub mod args;
 pub mod checks;
 pub mod clients;
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -1,5 +1,6 @@
 //! Soak run of one seed.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,10 +10,12 @@
 use snipespan_fakes::fault_proxy::Fault;
 use snipespan_fakes::fault_proxy::FaultProxy;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
+use snipespan_fakes::users_platform::replica::Run;
 use snipespan_fakes::users_platform::store::StoreFault;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::addresses::AddressBlock;
 use crate::checks;
 use crate::checks::ExemptPeriod;
 use crate::checks::History;
@@ -57,11 +60,13 @@
     Drain(usize),
 }
 
+/// A run; its gateways end before the fakes that they call, and before its addresses are free.
 struct SoakRun {
-    platform: TestPlatform,
     gateways: Vec<Gateway>,
+    platform: TestPlatform,
     /// Proxy between each gateway and the store, by index of the gateway.
     store_proxies: Vec<FaultProxy>,
+    _addresses: AddressBlock,
     history: History,
     /// Undos that are not yet applied, each with the time at which it is due.
     pending_undos: Vec<(Instant, Undo)>,
@@ -77,27 +82,32 @@
     daemon: &Path,
     folder: &Path,
 ) -> Result<Outcome> {
-    let platform = TestPlatform::start(config).await?;
+    let addresses = AddressBlock::claim()?;
+    let tag = format!("{seed}-{}", std::process::id());
+    let platform = TestPlatform::start(config, addresses.fakes(), &tag).await?;
     let mut gateways = Vec::new();
     let mut store_proxies = Vec::new();
     for index in 0..config.gateways {
-        let proxy = FaultProxy::start(platform.store_address()).await?;
-        gateways.push(Gateway::start(daemon, folder, &format!("g{index}"), proxy.address())?);
+        let proxy = FaultProxy::start_at(addresses.fakes(), platform.store_address()).await?;
+        let name = format!("g{index}");
+        let listen = addresses.gateway(index);
+        gateways.push(Gateway::start(daemon, folder, &name, listen, proxy.address())?);
         store_proxies.push(proxy);
     }
     let mut soak = SoakRun {
-        platform,
         gateways,
+        platform,
         store_proxies,
+        _addresses: addresses,
         history: History::default(),
         pending_undos: Vec::new(),
     };
     tokio::time::sleep(Duration::from_secs(1)).await;
     let (stop, stopping) = watch::channel(false);
     let mut clients = JoinSet::new();
-    let addresses: Vec<_> = soak.gateways.iter().map(|g| g.address.subscribe()).collect();
+    let receivers: Vec<_> = soak.gateways.iter().map(|g| g.address.subscribe()).collect();
     for number in 0..config.clients {
-        let client = Client::new(seed, number, addresses.clone());
+        let client = Client::new(seed, number, receivers.clone());
         clients.spawn(client.send_until_stopped(stopping.clone()));
     }
     let steps = plan::generate_plan(seed, config);
@@ -112,7 +122,7 @@
     tokio::time::sleep(RECOVERY_TIME).await;
     stop.send_replace(true);
     soak.history.requests = clients.join_all().await.into_iter().flatten().collect();
-    let mut final_client = Client::new(seed, config.clients, addresses);
+    let mut final_client = Client::new(seed, config.clients, receivers);
     for _ in 0..FINAL_REQUESTS {
         if !final_client.send_request().await {
             soak.history.failed_after_recovery.push(final_client.last_request_id());
@@ -247,8 +257,12 @@
         for (index, replica) in self.platform.replicas.iter().enumerate() {
             self.history.reserved_tokens += replica.fake.reserved_tokens();
             let runs = replica.fake.runs().into_iter();
-            let observed =
-                runs.map(|run| ObservedRun { id: run.request, replica: index, began: run.began });
+            let observed = runs.map(|run| ObservedRun {
+                origin: describe_origin(&run, replica.proxy.caller_of(run.peer)),
+                id: run.request,
+                replica: index,
+                began: run.began,
+            });
             self.history.runs.extend(observed);
         }
         self.history.store_writes = std::mem::take(&mut self.platform.store_writes);
@@ -261,3 +275,11 @@
         Outcome { requests: requests.len(), served, faults, violations }
     }
 }
+
+/// Describes a run without an id: target, headers, and the addresses of the connection.
+fn describe_origin(run: &Run, caller: Option<SocketAddr>) -> String {
+    match run.request.is_empty() {
+        true => format!("{} from {} for {caller:?}: {:?}", run.target, run.peer, run.headers),
+        false => String::new(),
+    }
+}
--- a/crates/snipespan_soak/src/site.rs
+++ b/crates/snipespan_soak/src/site.rs
@@ -1,5 +1,6 @@
 //! Fakes of the users' platform: a store, and replicas behind fault proxies.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -50,25 +51,27 @@
 }
 
 impl TestPlatform {
-    /// Starts all fakes, lists the replicas as ready and writes a first configuration.
+    /// Starts all fakes on `ip`, lists the replicas as ready and writes a first configuration. The
+    /// ids of replicas end with `tag`, which no other run has.
     ///
     /// # Errors
     /// When a port cannot be bound.
-    pub async fn start(config: SoakConfig) -> Result<Self> {
-        let store = FakeStore::start().await?;
+    pub async fn start(config: SoakConfig, ip: IpAddr, tag: &str) -> Result<Self> {
+        let any_port = Some(SocketAddr::new(ip, 0));
+        let store = FakeStore::start_at(any_port).await?;
         let mut replicas = Vec::new();
         for service in ["llm", "orders"] {
             for number in 0..config.replicas {
                 let replica_config = ReplicaConfig {
-                    id: format!("{service}-{number}"),
+                    id: format!("{service}-{number}-{tag}"),
                     service: service.to_owned(),
                     events: STREAM_EVENTS,
                     pause: EVENT_PAUSE,
                     slots: 64,
                     memory_tokens: 232_000,
                 };
-                let fake = FakeReplica::start(replica_config, None).await?;
-                let proxy = FaultProxy::start(fake.address()).await?;
+                let fake = FakeReplica::start(replica_config, any_port).await?;
+                let proxy = FaultProxy::start_at(ip, fake.address()).await?;
                 replicas.push(Replica { fake, proxy });
             }
         }
--- a/crates/snipespan_soak/tests/checks.rs
+++ b/crates/snipespan_soak/tests/checks.rs
@@ -35,7 +35,8 @@
 }
 
 fn observed_run(start: Instant, id: &str) -> ObservedRun {
-    ObservedRun { id: id.to_owned(), replica: 0, began: start + Duration::from_secs(20) }
+    let began = start + Duration::from_secs(20);
+    ObservedRun { id: id.to_owned(), origin: String::new(), replica: 0, began }
 }
 
 fn history_without_violation(start: Instant) -> History {
