--- a/crates/snipespan_soak/src/main.rs
+++ b/crates/snipespan_soak/src/main.rs
@@ -49,11 +49,13 @@
         let running = run::run_seed(seed, config, &daemon, folder.path());
         let outcome = runtime.block_on(until_interrupted(running))?;
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} violations",
+            "seed {seed}: {} requests, {} served, {} faults, {} crashes, {} violations; statuses {}",
             outcome.requests,
             outcome.served,
             outcome.faults,
-            outcome.violations.len()
+            outcome.crashes,
+            outcome.violations.len(),
+            describe_statuses(&outcome)
         );
         let mut by_promise: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for violation in &outcome.violations {
@@ -73,6 +75,15 @@
     Ok(failed)
 }
 
+/// Returns the number of requests by status, such as `200: 812, 503: 4, none: 1`.
+fn describe_statuses(outcome: &Outcome) -> String {
+    let counts = outcome.statuses.iter().map(|(status, count)| match status {
+        Some(status) => format!("{status}: {count}"),
+        None => format!("none: {count}"),
+    });
+    counts.collect::<Vec<_>>().join(", ")
+}
+
 /// Runs a seed. SIGINT and SIGTERM drop it, which ends its processes.
 async fn until_interrupted(running: impl Future<Output = Result<Outcome>>) -> Result<Outcome> {
     let mut stopping = signal(SignalKind::terminate())?;
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -60,6 +60,10 @@
     pub requests: usize,
     /// Number of requests answered completely with status 200.
     pub served: usize,
+    /// Number of these requests by status; `None` for those without an answer.
+    pub statuses: BTreeMap<Option<u16>, usize>,
+    /// Number of replicas that a deadly part ended.
+    pub crashes: usize,
     /// Number of faults and changes injected.
     pub faults: usize,
     /// Violations of promises.
@@ -412,8 +416,18 @@
             .iter()
             .filter(|request| request.status == Some(200) && request.is_complete)
             .count();
-        let violations = checks::check_history(&self.history);
-        Outcome { requests: requests.len(), served, faults, violations }
+        let mut statuses = BTreeMap::new();
+        for request in &requests {
+            *statuses.entry(request.status).or_default() += 1;
+        }
+        Outcome {
+            requests: requests.len(),
+            served,
+            statuses,
+            crashes: self.history.crashes.len(),
+            faults,
+            violations: checks::check_history(&self.history),
+        }
     }
 }
 
