--- a/crates/snipespand/tests/soak.rs
+++ b/crates/snipespand/tests/soak.rs
@@ -14,6 +14,12 @@
 // Failed when a client sent its next request on a connection that was not ready for one yet.
 #[case::unready_connection(4, 12, 8)]
 #[case::usual(11, 8, 6)]
+// Failed when a backend server that said it was leaving was still used.
+#[case::leaving(1050, 12, 10)]
+// Failed when a backend server that refused for a time was asked again at once.
+#[case::refusing(1019, 12, 10)]
+// Failed when each backend server in turn was given a prompt with a part that ends it.
+#[case::deadly_part(1067, 12, 10)]
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_seed(#[case] seed: u64, #[case] clients: usize, #[case] seconds: u64) {
     let fault_duration = Duration::from_secs(seconds);
