Soak: fakes and proxies listen on different addresses, and recovery waits for the last crash

Each of 7 placements at replica llm-1-...-3 in the 8 s after its start was answered 421 by another replica. While a proxy has closed its listener after a crash, the next fake to start on the same address may be given its port. That this happened is inferred from the 421s, not seen; fakes now have an address of their own.

Requests with a deadly part that a gateway still held could end a replica while the last requests were sent, and nothing noticed it then. The recovery now starts anew after each crash.

--- a/crates/snipespan_soak/src/addresses.rs
+++ b/crates/snipespan_soak/src/addresses.rs
@@ -16,8 +16,8 @@
 /// the range from which the system chooses ports.
 const GUARD_PORT: u16 = 20_000;
 
-/// Maximum number of gateways: the addresses of a block, less the first, the last, and the fakes'.
-pub const MAX_GATEWAYS: usize = 253;
+/// Maximum number of gateways: the addresses of a block without 0, 255 and those of the fakes.
+pub const MAX_GATEWAYS: usize = 252;
 
 /// Addresses of a gateway; it has the same ones after a restart.
 #[derive(Clone, Copy, Debug)]
@@ -62,11 +62,18 @@
         bail!("all {BLOCKS} blocks of loopback addresses are claimed")
     }
 
-    /// Returns the address of the fakes.
-    pub const fn fakes(&self) -> IpAddr {
+    /// Returns the address of the fault proxies, behind which the fakes are.
+    pub const fn proxies(&self) -> IpAddr {
         first_address(self.network)
     }
 
+    /// Returns the address of the fakes. It is another one than that of the proxies, since a fake
+    /// may start while a proxy has closed its listener, and must not get its port.
+    pub const fn fakes(&self) -> IpAddr {
+        let [a, b, c] = self.network;
+        IpAddr::V4(Ipv4Addr::new(a, b, c, 254))
+    }
+
     /// Returns the addresses of the gateway at `index`, less than [`MAX_GATEWAYS`].
     pub const fn gateway(&self, index: usize) -> GatewayAddresses {
         let [a, b, c] = self.network;
--- a/crates/snipespan_soak/src/checks.rs
+++ b/crates/snipespan_soak/src/checks.rs
@@ -361,8 +361,9 @@
 }
 
 fn check_unsent_runs(history: &History, report: &mut impl FnMut(&'static str, String)) {
+    let sent: BTreeSet<_> = history.requests.iter().map(|request| request.id.as_str()).collect();
     for run in &history.runs {
-        if !history.requests.iter().any(|request| request.id == run.id) {
+        if !sent.contains(run.id.as_str()) {
             report(
                 "only requests that a client sent run",
                 format!("request {:?} ran, but no client sent it; {}", run.id, run.origin),
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -122,11 +122,11 @@
 ) -> Result<Outcome> {
     let addresses = AddressBlock::claim(config.gateways)?;
     let tag = format!("{seed}-{}", std::process::id());
-    let platform = TestPlatform::start(config, addresses.fakes(), &tag).await?;
+    let platform = TestPlatform::start(config, &addresses, &tag).await?;
     let mut gateways = Vec::new();
     let mut store_proxies = Vec::new();
     for index in 0..config.gateways {
-        let proxy = FaultProxy::start_at(addresses.fakes(), platform.store_address()).await?;
+        let proxy = FaultProxy::start_at(addresses.proxies(), platform.store_address()).await?;
         let name = format!("g{index}");
         let listen = addresses.gateway(index);
         gateways.push(Gateway::start(daemon, folder, &name, listen, proxy.address())?);
@@ -159,12 +159,13 @@
     }
     soak.wait_until(began + config.fault_duration).await?;
     soak.undo_all().await?;
-    soak.wait_until(Instant::now() + RECOVERY_TIME).await?;
+    soak.recover().await?;
     stop.send_replace(true);
     soak.history.requests = clients.join_all().await.into_iter().flatten().collect();
     let mut final_client =
         Client::new(seed, config.clients, receivers, soak.sends_deadly.subscribe());
     for _ in 0..FINAL_REQUESTS {
+        soak.wait_until(Instant::now()).await?;
         if !final_client.send_request().await {
             soak.history.failed_after_recovery.push(final_client.last_request_id());
         }
@@ -385,6 +386,18 @@
         Ok(())
     }
 
+    /// Waits until no fault has been pending for [`RECOVERY_TIME`]. A request with a deadly part that
+    /// a gateway still holds may end another replica.
+    async fn recover(&mut self) -> Result<()> {
+        loop {
+            let crashes = self.history.crashes.len();
+            self.wait_until(Instant::now() + RECOVERY_TIME).await?;
+            if self.pending_undos.is_empty() && self.history.crashes.len() == crashes {
+                return Ok(());
+            }
+        }
+    }
+
     async fn collect_outcome(mut self, faults: usize) -> Outcome {
         // Memory reservations of the last spans expire without a release.
         tokio::time::sleep(Duration::from_secs(2)).await;
--- a/crates/snipespan_soak/src/site.rs
+++ b/crates/snipespan_soak/src/site.rs
@@ -14,6 +14,7 @@
 use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::store::FakeStore;
 
+use crate::addresses::AddressBlock;
 use crate::checks::MAX_ATTEMPTS;
 use crate::checks::STREAM_EVENTS;
 use crate::checks::StoreWrite;
@@ -59,12 +60,13 @@
 }
 
 impl TestPlatform {
-    /// Starts all fakes on `ip`, lists the replicas as ready and writes a first configuration. The
+    /// Starts all fakes in `addresses`, lists the replicas as ready and writes a first configuration. The
     /// ids of replicas end with `tag`, which no other run has.
     ///
     /// # Errors
     /// When a port cannot be bound.
-    pub async fn start(config: SoakConfig, ip: IpAddr, tag: &str) -> Result<Self> {
+    pub async fn start(config: SoakConfig, addresses: &AddressBlock, tag: &str) -> Result<Self> {
+        let ip = addresses.fakes();
         let any_port = Some(SocketAddr::new(ip, 0));
         let store = FakeStore::start_at(any_port).await?;
         let mut replicas = Vec::new();
@@ -79,7 +81,7 @@
                     memory_tokens: 232_000,
                 };
                 let fake = FakeReplica::start(replica_config.clone(), any_port).await?;
-                let proxy = FaultProxy::start_at(ip, fake.address()).await?;
+                let proxy = FaultProxy::start_at(addresses.proxies(), fake.address()).await?;
                 replicas.push(Replica { fake, past: Vec::new(), config: replica_config, proxy });
             }
         }
