--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -31,6 +31,7 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use crate::server::Server;
 use crate::sync::lock;
@@ -38,8 +39,11 @@
 /// Prefix of the paths that are answered with a stream of events.
 pub const STREAM_PATH_PREFIX: &str = "/stream/";
 
-/// Part of a prompt that ends each replica that begins to write an answer to it.
-pub const DEADLY_PART: &str = "dead";
+/// Part of a prompt that ends each replica that begins to write an answer to it, for good.
+pub const DEADLY_PART: u64 = 0xdead;
+
+/// Time for which a replica that has crashed runs nothing.
+const DOWN_TIME: Duration = Duration::from_millis(500);
 
 /// Identity, speed and capacity of a replica.
 #[derive(Clone, Debug)]
@@ -79,6 +83,10 @@
     Unsigned,
     /// Skips the second event of a stream.
     SkipsEvent,
+    /// Crashes when it is about to write the first event of an answer to a prompt with this part:
+    /// all its streams break, and for half a second it runs nothing, as one that starts again under
+    /// another id.
+    CrashesOnPart(u64),
     /// Neither answers orders to reserve or release memory nor carries them out.
     OrdersUnanswered,
     /// Sends answers without length or chunks, which end with their connection.
@@ -149,7 +157,9 @@
     arrivals: Mutex<Vec<Instant>>,
     refusals: Mutex<Vec<Refusal>>,
     /// Time at which [`DEADLY_PART`] ended the replica, which answers nothing since.
-    crashed: Mutex<Option<Instant>>,
+    ended: Mutex<Option<Instant>>,
+    /// Time of the last crash by [`ReplicaFault::CrashesOnPart`].
+    crashed: watch::Sender<Option<Instant>>,
     runs: Mutex<Vec<Run>>,
     /// Reserved tokens and time of expiry of each reservation, by id.
     reservations: Mutex<BTreeMap<String, (u64, Instant)>>,
@@ -175,7 +185,8 @@
             notice: Mutex::default(),
             arrivals: Mutex::default(),
             refusals: Mutex::default(),
-            crashed: Mutex::default(),
+            ended: Mutex::default(),
+            crashed: watch::Sender::default(),
             runs: Mutex::default(),
             reservations: Mutex::default(),
         });
@@ -229,8 +240,13 @@
     }
 
     /// Returns the time at which [`DEADLY_PART`] ended it.
+    pub fn ended(&self) -> Option<Instant> {
+        *lock(&self.shared.ended)
+    }
+
+    /// Returns the time of its last crash by [`ReplicaFault::CrashesOnPart`].
     pub fn crashed(&self) -> Option<Instant> {
-        *lock(&self.shared.crashed)
+        *self.shared.crashed.borrow()
     }
 
     /// Returns all executions so far, in the order of their start.
@@ -313,7 +329,7 @@
 /// notice to the answer.
 async fn add_notice(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
     lock(&shared.arrivals).push(Instant::now());
-    if lock(&shared.crashed).is_some() {
+    if lock(&shared.ended).is_some() {
         std::future::pending::<()>().await;
     }
     let is_refused = !lock(&shared.notice).retry_after.is_empty();
@@ -388,7 +404,8 @@
         return empty_response(StatusCode::OK, &[("instance-id", &shared.config.id)])
             .into_response();
     }
-    if text("expect-instance").is_some_and(|expected| expected != shared.config.id) {
+    let is_down = shared.crashed.borrow().is_some_and(|crashed| crashed.elapsed() < DOWN_TIME);
+    if is_down || text("expect-instance").is_some_and(|expected| expected != shared.config.id) {
         return empty_response(
             StatusCode::MISDIRECTED_REQUEST,
             &[("instance-id", &shared.config.id)],
@@ -412,12 +429,12 @@
             (StatusCode::INTERNAL_SERVER_ERROR, "broken").into_response()
         }
         _ if uri.path().starts_with(STREAM_PATH_PREFIX) => {
-            if has_deadly_part(&headers) {
+            if has_part(&headers, DEADLY_PART) {
                 tokio::time::sleep(shared.config.pause).await;
-                lock(&shared.crashed).get_or_insert(Instant::now());
+                lock(&shared.ended).get_or_insert(Instant::now());
                 std::future::pending::<()>().await;
             }
-            stream_response(&shared, run, fault, last)
+            stream_response(&shared, run, fault, (last, &headers))
         }
         _ => plain_response(&shared, run, fault, &request).await,
     };
@@ -437,11 +454,12 @@
     response
 }
 
-/// Returns whether one of the parts of a prompt, a list of `ID:TOKENS`, is [`DEADLY_PART`].
-pub fn has_deadly_part(headers: &HeaderMap) -> bool {
-    let prefix = headers.get("prompt-prefix").and_then(|value| value.to_str().ok());
-    let parts = prefix.into_iter().flat_map(|prefix| prefix.split(','));
-    parts.filter_map(|part| part.split(':').next()).any(|id| id.trim() == DEADLY_PART)
+/// Returns whether a prompt with these headers has a part.
+pub fn has_part(headers: &HeaderMap, part: u64) -> bool {
+    let parts = headers.get("prompt-prefix").and_then(|value| value.to_str().ok());
+    let ids = parts.into_iter().flat_map(|parts| parts.split(','));
+    let mut ids = ids.filter_map(|entry| entry.split(':').next());
+    ids.any(|id| u64::from_str_radix(id, 16) == Ok(part))
 }
 
 /// Answers a request to a plain service after the pause.
@@ -482,13 +500,34 @@
 const TRICKLE_PARTS: u32 = 8;
 
 /// Answers with the events after the one with the id `last`, each after the pause.
-fn stream_response(shared: &Shared, run: RunGuard, fault: ReplicaFault, last: u64) -> Response {
+fn stream_response(
+    shared: &Arc<Shared>,
+    run: RunGuard,
+    fault: ReplicaFault,
+    (last, headers): (u64, &HeaderMap),
+) -> Response {
     let (tx, rx) = mpsc::channel(1);
+    let is_crashing = matches!(fault, ReplicaFault::CrashesOnPart(part) if has_part(headers, part));
+    let mut crashed = shared.crashed.subscribe();
+    let shared = Arc::clone(shared);
     let (events, pause) = (shared.config.events, shared.config.pause);
     // Ends when the caller disconnects, as the channel then takes no more parts.
     tokio::spawn(async move {
-        let sending = send_events(&tx, &run, fault, (last, events), pause);
+        let sending = async {
+            if is_crashing {
+                tokio::time::sleep(pause).await;
+                shared.crashed.send_replace(Some(Instant::now()));
+            }
+            send_events(&tx, &run, fault, (last, events), pause).await
+        };
         tokio::select! {
+            biased;
+            _ = crashed.changed() => {
+                run.finish();
+                let error = std::io::Error::other("the fake crashed");
+                // Nobody receives it if the caller has left.
+                let _ = tx.send(Err(error)).await;
+            }
             _ = sending => {}
             () = tx.closed() => {}
         }
--- a/crates/snipespan_fakes/tests/replica.rs
+++ b/crates/snipespan_fakes/tests/replica.rs
@@ -76,7 +76,7 @@
     let (replica, proxy) = start(ReplicaFault::None).await;
     let _deadly = send(&proxy, "/stream/1", "prompt-prefix: a1:5,dead:2,b2:1\r\n").await;
     tokio::time::sleep(Duration::from_millis(200)).await;
-    assert!(replica.crashed().is_some());
+    assert!(replica.ended().is_some());
     let mut stream = send(&proxy, "/look/1", "").await;
     let mut buf = [0; 1];
     let read = tokio::time::timeout(Duration::from_millis(300), stream.read(&mut buf)).await;
--- a/crates/snipespan_soak/src/clients.rs
+++ b/crates/snipespan_soak/src/clients.rs
@@ -213,7 +213,7 @@
             builder.header("prompt-prefix", format!("a1:600,{}:400", own_part(id)))
         }
         RequestKind::Deadly => builder
-            .header("prompt-prefix", format!("a1:600,{DEADLY_PART}:200,{}:200", own_part(id))),
+            .header("prompt-prefix", format!("a1:600,{DEADLY_PART:x}:200,{}:200", own_part(id))),
         RequestKind::Span | RequestKind::Unsafe | RequestKind::Safe => builder,
     };
     let mut answer = ReceivedAnswer::default();
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -10,11 +10,12 @@
 use nix::sys::signal::Signal;
 use snipespan_fakes::fault_proxy::Fault;
 use snipespan_fakes::fault_proxy::FaultProxy;
+use snipespan_fakes::users_platform::replica::DEADLY_PART;
 use snipespan_fakes::users_platform::replica::Refusal;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
 use snipespan_fakes::users_platform::replica::ReplicaNotice;
 use snipespan_fakes::users_platform::replica::Run;
-use snipespan_fakes::users_platform::replica::has_deadly_part;
+use snipespan_fakes::users_platform::replica::has_part;
 use snipespan_fakes::users_platform::store::StoreFault;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -235,7 +236,7 @@
     fn poll_replicas(&mut self, now: Instant) {
         for index in 0..self.platform.replicas.len() {
             let replica = &self.platform.replicas[index];
-            let Some(crashed) = replica.fake.crashed() else { continue };
+            let Some(crashed) = replica.fake.ended() else { continue };
             replica.proxy.set_fault(Fault::Down);
             if self.history.crashes.contains(&crashed) {
                 continue;
@@ -411,7 +412,7 @@
                 self.history.runs.extend(fake.runs().into_iter().map(|run| ObservedRun {
                     origin: describe_origin(&run, replica.proxy.caller_of(run.peer)),
                     incarnation: fake.id().to_owned(),
-                    is_deadly: has_deadly_part(&run.headers),
+                    is_deadly: has_part(&run.headers, DEADLY_PART),
                     id: run.request,
                     replica: index,
                     began: run.began,
