--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -12,6 +12,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::body::Bytes;
+use axum::extract::ConnectInfo;
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
@@ -19,6 +20,7 @@
 use axum::http::Method;
 use axum::http::StatusCode;
 use axum::http::Uri;
+use axum::http::Version;
 use axum::middleware;
 use axum::middleware::Next;
 use axum::response::IntoResponse;
@@ -28,6 +30,7 @@
 use futures_util::stream;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::server::Server;
@@ -36,6 +39,9 @@
 /// Prefix of the paths that are answered with a stream of events.
 pub const STREAM_PATH_PREFIX: &str = "/stream/";
 
+/// Part of a prompt that ends each replica that begins to write an answer to it, for good.
+pub const DEADLY_PART: u64 = 0xdead;
+
 /// Time for which a replica that has crashed runs nothing.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
@@ -83,6 +89,21 @@
     CrashesOnPart(u64),
     /// Neither answers orders to reserve or release memory nor carries them out.
     OrdersUnanswered,
+    /// Sends answers without length or chunks, which end with their connection.
+    Unframed,
+    /// Streams nothing for this time after the second event, and then goes on.
+    Pauses(Duration),
+    /// Spreads each event of a stream over this time, some bytes at a time.
+    Trickles(Duration),
+    /// Streams comments and never an event.
+    SendsComments,
+}
+
+impl ReplicaFault {
+    /// Returns whether a replica with this fault serves its requests completely.
+    pub const fn is_sound(self) -> bool {
+        matches!(self, Self::None | Self::Unframed | Self::Pauses(_) | Self::Trickles(_))
+    }
 }
 
 /// What a replica says of itself in its answers, which tests may change while it runs.
@@ -106,6 +127,8 @@
     pub body: Vec<u8>,
     /// Headers of the request.
     pub headers: HeaderMap,
+    /// Address from which it came.
+    pub peer: SocketAddr,
     /// Start of the execution.
     pub began: Instant,
     /// Time at which the caller disconnected before the execution had ended.
@@ -114,6 +137,17 @@
     pub is_done: bool,
 }
 
+/// A refusal with the field `retry-after`.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Id of the request, from the header `attempt-id`; empty without one.
+    pub request: String,
+    /// Time at which it arrived.
+    pub at: Instant,
+    /// Value of the field, in seconds; 0 if it is no number.
+    pub retry_after: Duration,
+}
+
 #[derive(Debug)]
 struct Shared {
     config: ReplicaConfig,
@@ -121,9 +155,12 @@
     notice: Mutex<ReplicaNotice>,
     /// Times at which requests and orders arrived.
     arrivals: Mutex<Vec<Instant>>,
-    runs: Mutex<Vec<Run>>,
-    /// Time of the last crash.
+    refusals: Mutex<Vec<Refusal>>,
+    /// Time at which [`DEADLY_PART`] ended the replica, which answers nothing since.
+    ended: Mutex<Option<Instant>>,
+    /// Time of the last crash by [`ReplicaFault::CrashesOnPart`].
     crashed: watch::Sender<Option<Instant>>,
+    runs: Mutex<Vec<Run>>,
     /// Reserved tokens and time of expiry of each reservation, by id.
     reservations: Mutex<BTreeMap<String, (u64, Instant)>>,
 }
@@ -147,8 +184,10 @@
             fault: Mutex::default(),
             notice: Mutex::default(),
             arrivals: Mutex::default(),
-            runs: Mutex::default(),
+            refusals: Mutex::default(),
+            ended: Mutex::default(),
             crashed: watch::Sender::default(),
+            runs: Mutex::default(),
             reservations: Mutex::default(),
         });
         let router = Router::new()
@@ -185,11 +224,6 @@
         *lock(&self.shared.fault) = fault;
     }
 
-    /// Returns the time of its last crash.
-    pub fn crashed(&self) -> Option<Instant> {
-        *self.shared.crashed.borrow()
-    }
-
     /// Sets what it says of itself.
     pub fn set_notice(&self, notice: ReplicaNotice) {
         *lock(&self.shared.notice) = notice;
@@ -200,6 +234,21 @@
         lock(&self.shared.arrivals).clone()
     }
 
+    /// Returns the refusals with the field `retry-after`.
+    pub fn refusals(&self) -> Vec<Refusal> {
+        lock(&self.shared.refusals).clone()
+    }
+
+    /// Returns the time at which [`DEADLY_PART`] ended it.
+    pub fn ended(&self) -> Option<Instant> {
+        *lock(&self.shared.ended)
+    }
+
+    /// Returns the time of its last crash by [`ReplicaFault::CrashesOnPart`].
+    pub fn crashed(&self) -> Option<Instant> {
+        *self.shared.crashed.borrow()
+    }
+
     /// Returns all executions so far, in the order of their start.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.shared.runs).clone()
@@ -220,6 +269,7 @@
         self: &Arc<Self>,
         request: &str,
         target: String,
+        peer: SocketAddr,
         headers_and_body: (HeaderMap, Bytes),
     ) -> RunGuard {
         let (headers, body) = headers_and_body;
@@ -229,6 +279,7 @@
             target,
             body: body.to_vec(),
             headers,
+            peer,
             began: Instant::now(),
             cancelled: None,
             is_done: false,
@@ -237,6 +288,18 @@
     }
 }
 
+impl Shared {
+    fn record_refusal(&self, headers: &HeaderMap) {
+        let request = headers.get("attempt-id").and_then(|value| value.to_str().ok());
+        let seconds = lock(&self.notice).retry_after.first().and_then(|text| text.parse().ok());
+        lock(&self.refusals).push(Refusal {
+            request: request.unwrap_or_default().to_owned(),
+            at: Instant::now(),
+            retry_after: Duration::from_secs(seconds.unwrap_or_default()),
+        });
+    }
+}
+
 /// Records how an execution ends: as done by [`Self::finish`], or as cancelled if it is dropped
 /// before that because the caller disconnected.
 struct RunGuard {
@@ -266,7 +329,13 @@
 /// notice to the answer.
 async fn add_notice(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
     lock(&shared.arrivals).push(Instant::now());
+    if lock(&shared.ended).is_some() {
+        std::future::pending::<()>().await;
+    }
     let is_refused = !lock(&shared.notice).retry_after.is_empty();
+    if is_refused {
+        shared.record_refusal(req.headers());
+    }
     let mut response = match is_refused {
         true => empty_response(StatusCode::SERVICE_UNAVAILABLE, &[("not-executed", "1")]),
         false => next.run(req).await,
@@ -324,6 +393,7 @@
 /// Answers health checks, refuses requests that it must not run, and runs the others.
 async fn handle_request(
     State(shared): State<Arc<Shared>>,
+    ConnectInfo(peer): ConnectInfo<SocketAddr>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -349,7 +419,7 @@
     }
     let request = text("attempt-id").unwrap_or_default().to_owned();
     let last: u64 = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-    let run = shared.start_run(&request, format!("{method} {uri}"), (headers.clone(), body));
+    let run = shared.start_run(&request, format!("{method} {uri}"), peer, (headers.clone(), body));
     let attempt_id = if fault == ReplicaFault::WrongAttemptId { "another" } else { &request };
     let mut response = match fault {
         ReplicaFault::NeverAnswers => std::future::pending().await,
@@ -359,10 +429,19 @@
             (StatusCode::INTERNAL_SERVER_ERROR, "broken").into_response()
         }
         _ if uri.path().starts_with(STREAM_PATH_PREFIX) => {
+            if has_part(&headers, DEADLY_PART) {
+                tokio::time::sleep(shared.config.pause).await;
+                lock(&shared.ended).get_or_insert(Instant::now());
+                std::future::pending::<()>().await;
+            }
             stream_response(&shared, run, fault, (last, &headers))
         }
         _ => plain_response(&shared, run, fault, &request).await,
     };
+    if fault == ReplicaFault::Unframed {
+        // The HTTP library then sends neither a length nor chunks.
+        *response.version_mut() = Version::HTTP_10;
+    }
     let fields = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(attempt_id) {
         fields.insert("attempt-id", value);
@@ -375,6 +454,14 @@
     response
 }
 
+/// Returns whether a prompt with these headers has a part.
+pub fn has_part(headers: &HeaderMap, part: u64) -> bool {
+    let parts = headers.get("prompt-prefix").and_then(|value| value.to_str().ok());
+    let ids = parts.into_iter().flat_map(|parts| parts.split(','));
+    let mut ids = ids.filter_map(|entry| entry.split(':').next());
+    ids.any(|id| u64::from_str_radix(id, 16) == Ok(part))
+}
+
 /// Answers a request to a plain service after the pause.
 async fn plain_response(
     shared: &Shared,
@@ -391,6 +478,10 @@
             let parts = [Ok(partial), Err(std::io::Error::other("the fake breaks the connection"))];
             Body::from_stream(stream::iter(parts)).into_response()
         }
+        ReplicaFault::Unframed => {
+            let parts = [Ok::<_, std::io::Error>(Bytes::from(body))];
+            Body::from_stream(stream::iter(parts)).into_response()
+        }
         _ => body.into_response(),
     }
 }
@@ -405,13 +496,8 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
-/// Returns whether a prompt with these headers has a part.
-fn has_part(headers: &HeaderMap, part: u64) -> bool {
-    let parts = headers.get("prompt-prefix").and_then(|value| value.to_str().ok());
-    let ids = parts.into_iter().flat_map(|parts| parts.split(','));
-    let mut ids = ids.filter_map(|entry| entry.split(':').next());
-    ids.any(|id| u64::from_str_radix(id, 16) == Ok(part))
-}
+/// Number of parts in which [`ReplicaFault::Trickles`] sends an event.
+const TRICKLE_PARTS: u32 = 8;
 
 /// Answers with the events after the one with the id `last`, each after the pause.
 fn stream_response(
@@ -420,57 +506,87 @@
     fault: ReplicaFault,
     (last, headers): (u64, &HeaderMap),
 ) -> Response {
-    let events = shared.config.events;
-    let pause = shared.config.pause;
+    let (tx, rx) = mpsc::channel(1);
     let is_crashing = matches!(fault, ReplicaFault::CrashesOnPart(part) if has_part(headers, part));
-    let crashed = shared.crashed.subscribe();
+    let mut crashed = shared.crashed.subscribe();
     let shared = Arc::clone(shared);
-    let state = (run, last, 0u64, crashed, shared);
-    let parts = stream::unfold(Some(state), move |state| async move {
-        let (run, last, sent, mut crashed, shared) = state?;
+    let (events, pause) = (shared.config.events, shared.config.pause);
+    // Ends when the caller disconnects, as the channel then takes no more parts.
+    tokio::spawn(async move {
+        let sending = async {
+            if is_crashing {
+                tokio::time::sleep(pause).await;
+                shared.crashed.send_replace(Some(Instant::now()));
+            }
+            send_events(&tx, &run, fault, (last, events), pause).await
+        };
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            biased;
             _ = crashed.changed() => {
                 run.finish();
-                return Some((Err(std::io::Error::other("the fake crashed")), None));
+                let error = std::io::Error::other("the fake crashed");
+                // Nobody receives it if the caller has left.
+                let _ = tx.send(Err(error)).await;
             }
+            _ = sending => {}
+            () = tx.closed() => {}
         }
-        if is_crashing {
-            run.finish();
-            shared.crashed.send_replace(Some(Instant::now()));
-            return Some((Err(std::io::Error::other("the fake crashes")), None));
-        }
-        if last >= events {
-            run.finish();
-            return None;
-        }
-        let next = last + 1;
-        if let ReplicaFault::Disconnects(after) = fault
-            && sent >= after
-        {
-            run.finish();
-            let partial = stream_event(next).into_bytes()[..5].to_vec();
-            return match sent == after {
-                true => {
-                    let next = (run, last, sent + 1, crashed, shared);
-                    Some((Ok(Bytes::from(partial)), Some(next)))
-                }
-                false => Some((Err(std::io::Error::other("the fake breaks the connection")), None)),
-            };
-        }
-        let is_skipped = fault == ReplicaFault::SkipsEvent && next == 2;
-        let bytes = if is_skipped { Bytes::new() } else { Bytes::from(stream_event(next)) };
-        if next == events {
-            run.finish();
-        }
-        Some((Ok(bytes), Some((run, next, sent + 1, crashed, shared))))
     });
+    let parts = stream::unfold(rx, |mut rx| async move { Some((rx.recv().await?, rx)) });
     let mut response = Body::from_stream(parts).into_response();
     let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert("content-type", kind);
     response
 }
 
+type PartSender = mpsc::Sender<std::io::Result<Bytes>>;
+
+/// Sends the events after the first number up to the second one; `None` if nobody receives them.
+async fn send_events(
+    tx: &PartSender,
+    run: &RunGuard,
+    fault: ReplicaFault,
+    (last, events): (u64, u64),
+    pause: Duration,
+) -> Option<()> {
+    let send = async |part: &[u8]| tx.send(Ok(Bytes::copy_from_slice(part))).await.ok();
+    for (sent, id) in (last + 1..=events).enumerate() {
+        tokio::time::sleep(pause).await;
+        let event = stream_event(id).into_bytes();
+        match fault {
+            ReplicaFault::Disconnects(after) if sent as u64 >= after => {
+                run.finish();
+                send(&event[..5]).await?;
+                tokio::time::sleep(pause).await;
+                let error = std::io::Error::other("the fake breaks the connection");
+                return tx.send(Err(error)).await.ok();
+            }
+            ReplicaFault::SkipsEvent if id == 2 => {}
+            ReplicaFault::SendsComments => loop {
+                send(b":\n\n").await?;
+                tokio::time::sleep(pause).await;
+            },
+            ReplicaFault::Trickles(duration) => {
+                for part in event.chunks(event.len().div_ceil(TRICKLE_PARTS as usize)) {
+                    send(part).await?;
+                    tokio::time::sleep(duration / TRICKLE_PARTS).await;
+                }
+            }
+            ReplicaFault::Pauses(duration) if id == 3 => {
+                tokio::time::sleep(duration).await;
+                send(&event).await?;
+            }
+            _ => send(&event).await?,
+        }
+        if id == events {
+            run.finish();
+        }
+    }
+    tokio::time::sleep(pause).await;
+    run.finish();
+    Some(())
+}
+
 /// Returns a response with the headers `fields` and without a body.
 fn empty_response(status: StatusCode, fields: &[(&'static str, &str)]) -> Response {
     let mut response = status.into_response();
--- a/crates/snipespan_soak/src/gateway.rs
+++ b/crates/snipespan_soak/src/gateway.rs
@@ -9,7 +9,6 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::time::Duration;
-use std::time::Instant;
 
 use eyre::Result;
 use eyre::bail;
@@ -20,6 +19,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
+use crate::addresses::GatewayAddresses;
+
 /// Maximum duration of a planned stop: `stop_limit` of the settings, 8 seconds, plus a margin for a
 /// busy machine.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,16 +36,24 @@
 }
 
 impl Gateway {
-    /// Writes the settings of a gateway that reaches the store at `store`, and starts it.
+    /// Writes the settings of a gateway that listens at `listen` and reaches the store at `store`,
+    /// and starts it.
     ///
     /// # Errors
     /// When the settings cannot be written or the process does not start.
-    pub fn start(daemon: &Path, folder: &Path, name: &str, store: SocketAddr) -> Result<Self> {
+    pub fn start(
+        daemon: &Path,
+        folder: &Path,
+        name: &str,
+        listen: GatewayAddresses,
+        store: SocketAddr,
+    ) -> Result<Self> {
         let config = folder.join(format!("{name}.ini"));
+        let GatewayAddresses { clients, ready, peers } = listen;
         let text = format!(
             "[process]\nrole = gateway\nvm = {name}\ndata_centre = graz-a\ntraffic_threads = 1\n\
-             [gateway]\nclients_listen = 127.0.0.1:0\nready_listen = 127.0.0.1:0\n\
-             peers_listen = 127.0.0.1:0\nstore = {store}\nretry_ratio = 0.2\n\
+             [gateway]\nclients_listen = {clients}\nready_listen = {ready}\n\
+             peers_listen = {peers}\nstore = {store}\nretry_ratio = 0.2\n\
              retry_slack = 1000\nstop_limit = 8s\nfeed_wait = 1s\n"
         );
         std::fs::write(&config, text)?;
@@ -97,26 +106,17 @@
         kill(Pid::from_raw(child.id() as i32), signal).ok()
     }
 
-    /// Waits until the process has ended, and kills it after [`STOP_TIMEOUT`]. Returns whether it
-    /// exited successfully in time.
-    pub async fn wait_for_exit(&mut self) -> bool {
-        let began = Instant::now();
-        let Some(child) = self.child.as_mut() else { return true };
-        let status = loop {
-            match child.try_wait() {
-                Ok(Some(status)) => break Some(status),
-                Ok(None) if began.elapsed() < STOP_TIMEOUT => {
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                }
-                Ok(None) | Err(_) => break None,
-            }
-        };
+    /// Returns whether the process has exited successfully; `None` if it runs or was ended before.
+    pub fn poll_exit(&mut self) -> Option<bool> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
         self.address.send_replace(None);
-        if status.is_none() {
-            self.kill();
-        }
         self.child = None;
-        status.is_some_and(|status| status.success())
+        Some(status.success())
+    }
+
+    /// Returns whether the process has been started and not been seen to end.
+    pub const fn is_running(&self) -> bool {
+        self.child.is_some()
     }
 
     /// Kills the process and waits until it has ended.
