Own interface: count the wait for a backend server from the last attempt

Callers saw a stream cut at once when its only backend server reconnected, if the request was older than a request may wait to be placed (5 s).

Cause: the wait was counted from the arrival of the body, so a request whose attempt failed later had none left.

Retries stay bounded by the attempts.

--- a/crates/snipespan_core/src/entry/systems/attempts.rs
+++ b/crates/snipespan_core/src/entry/systems/attempts.rs
@@ -151,6 +151,9 @@
         fail_request(world, request, effects);
         return;
     }
+    if let Some(row) = world.requests.get_mut(request) {
+        row.placing_since = now;
+    }
     let doubled = RETRY_PAUSE.saturating_mul(1 << attempt.number.0.min(10));
     let pause = doubled.min(MAX_RETRY_PAUSE).mul_f64(world.rng.random_range(0.5..1.0));
     world.schedule_placement(request, now.after(pause));
--- a/crates/snipespan_core/src/entry/tables/requests.rs
+++ b/crates/snipespan_core/src/entry/tables/requests.rs
@@ -52,7 +52,8 @@
     pub lifecycle: StateMachine<RequestLifecycle>,
     /// Time at which its head arrived.
     pub arrived: Timestamp,
-    /// Time at which its body was accepted, from which the placing limit counts.
+    /// Time at which its body was accepted or its last attempt ended, from which the placing limit
+    /// counts.
     pub placing_since: Timestamp,
     /// Time at which it expires.
     pub deadline: Timestamp,
--- a/crates/snipespan_core/tests/entry/attempts.rs
+++ b/crates/snipespan_core/tests/entry/attempts.rs
@@ -190,3 +190,22 @@
     kit.report_load(keys[1], 5_000);
     assert_eq!(kit.dispatch_request().1.backend_server, keys[0]);
 }
+
+/// Guards against a stream that is cut because it began longer ago than a request may wait for a
+/// backend server, 5 s, when its only one reconnects.
+#[test]
+fn begun_stream_waits_for_its_backend_server_to_return() {
+    let mut kit = Kit::with_engines(1);
+    let (_, dispatch) = kit.dispatch_request();
+    let (attempt, backend_server) = (dispatch.attempt, dispatch.backend_server);
+    kit.tick(vec![Event::FirstToken { attempt }]);
+    kit.advance(Duration::from_secs(6));
+    let code = ResultCode::AnswerCut;
+    let effects = kit.tick(vec![
+        Event::BackendServerLost { backend_server },
+        Event::AttemptFailed { attempt, code, resumable: true },
+    ]);
+    assert_eq!(answered_code(&effects), None);
+    let effects = kit.advance(Duration::from_millis(300));
+    assert_eq!(answered_code(&effects), None);
+}
