--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -329,8 +329,8 @@
     }
 }
 
-/// Lets a peer report `count` pieces of work, which are being decoded at a backend server.
-pub(crate) fn hold_work(kit: &mut Kit, service: &str, number: u8, count: u64) {
+/// Returns a report of a peer on a piece of work at a backend server.
+pub(crate) fn work_report(id: u64, service: &str, number: u8, phase: Phase) -> WorkReport {
     let demand = WorkDemand {
         prompt_tokens: 5_000,
         output_tokens: 800,
@@ -341,10 +341,12 @@
         rank: Rank::OnTime,
     };
     let instance_hash = listing(service, number).instance_hash;
-    let report = |id| {
-        let (id, phase) = (WorkId(id), Phase::Decode);
-        WorkChange::Started(WorkReport { id, instance_hash, demand, phase, age_ms: 0 })
-    };
+    WorkReport { id: WorkId(id), instance_hash, demand, phase, age_ms: 0 }
+}
+
+/// Lets a peer report `count` pieces of work, which are being decoded at a backend server.
+pub(crate) fn hold_work(kit: &mut Kit, service: &str, number: u8, count: u64) {
+    let report = |id| WorkChange::Started(work_report(id, service, number, Phase::Decode));
     let update = PeerUpdate::Changes((1..=count).map(report).collect());
     let sequence = kit.now.as_micros();
     let message = peer_message(sequence, 1, update);
--- a/crates/snipespan_core/tests/gateway/peers.rs
+++ b/crates/snipespan_core/tests/gateway/peers.rs
@@ -7,26 +7,13 @@
 use snipespan_core::gateway::event::WorkChange;
 use snipespan_core::gateway::event::WorkReport;
 use snipespan_core::gateway::tables::work::Phase;
-use snipespan_core::gateway::tables::work::Rank;
-use snipespan_core::gateway::tables::work::WorkDemand;
-use snipespan_core::gateway::tables::work::WorkId;
 
 use crate::kit;
 use crate::kit::ENGINE;
 use crate::kit::Kit;
 
 fn report(id: u64) -> WorkReport {
-    let demand = WorkDemand {
-        prompt_tokens: 5_000,
-        output_tokens: 800,
-        prefill_ms: 30.0,
-        latency_goal_ms: 300.0,
-        gap_goal_ms: 250.0,
-        value: 1.4,
-        rank: Rank::OnTime,
-    };
-    let instance_hash = kit::listing(ENGINE, 1).instance_hash;
-    WorkReport { id: WorkId(id), instance_hash, demand, phase: Phase::Prefill, age_ms: 0 }
+    kit::work_report(id, ENGINE, 1, Phase::Prefill)
 }
 
 fn receive(kit: &mut Kit, message: PeerMessage) {
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -1,29 +1,24 @@
 //! The task of one request: forwards it to backend servers as the control thread orders, and their
 //! answer to the client.
 
+mod inbound;
+mod partial_answer;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use hyper::HeaderMap;
-use hyper::Method;
 use hyper::Response;
-use hyper::Uri;
-use hyper::header;
 use snipespan_core::gateway::effect::Dispatch;
-use snipespan_core::gateway::event::AnswerStage;
-use snipespan_core::gateway::event::Arrival;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
-use snipespan_core::keys::CallerKey;
 use snipespan_core::keys::RequestKey;
 use snipespan_core::keys::WorkKey;
 use snipespan_core::result_code::ResultCode;
 use snipespan_core::time::Timestamp;
 use snipespan_platform_adapter::headers;
-use snipespan_platform_adapter::headers::RequestFields;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -43,6 +38,9 @@
 use crate::gateway::shell::Order;
 use crate::gateway::shell::report_announcement;
 
+pub(super) use self::inbound::InboundRequest;
+use self::partial_answer::PartialAnswer;
+
 /// Maximum number of parts of an answer that wait for a slow client; beyond it nothing more is read
 /// from the backend server.
 const MAX_QUEUED_PARTS: usize = 16;
@@ -51,18 +49,6 @@
 /// of the shortest silence that counts as a stall.
 const PROGRESS_INTERVAL_US: u64 = 250_000;
 
-/// A client's request with its complete body.
-#[derive(Debug)]
-pub(super) struct InboundRequest {
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) fields: RequestFields,
-    /// When its head was received.
-    pub(super) received: Timestamp,
-    pub(super) body: Bytes,
-}
-
 /// State of the answer to the client.
 enum Output {
     /// The head of the answer was not sent yet.
@@ -122,7 +108,7 @@
         head: oneshot::Sender<Response<AnswerBody>>,
     ) -> Result<(), ResultCode> {
         let (orders_tx, orders) = mpsc::channel(MAX_QUEUED_ORDERS);
-        let arrival = Box::new(build_arrival(&inbound));
+        let arrival = Box::new(inbound.arrival());
         let sent = cx.control.try_send(Input::Arrive(arrival, orders_tx));
         sent.map_err(|_| ResultCode::Overloaded)?;
         let now = cx.clock.now();
@@ -477,31 +463,6 @@
     }
 }
 
-/// The part of an attempt's answer that was received so far.
-#[derive(Default)]
-struct PartialAnswer {
-    is_success: bool,
-    /// When its first complete event arrived.
-    first_event: Option<Timestamp>,
-    /// Number of reads that completed events.
-    reads: u32,
-    is_stream: bool,
-    status: u16,
-    headers: HeaderMap,
-    body: BytesMut,
-}
-
-impl PartialAnswer {
-    /// Returns how far the answer has come.
-    const fn stage(&self, now: Timestamp) -> AnswerStage {
-        match self.first_event {
-            Some(first) => AnswerStage::Events { reads: self.reads, since_first: now.since(first) },
-            None if self.is_success => AnswerStage::Begun,
-            None => AnswerStage::Awaited,
-        }
-    }
-}
-
 /// What the task does after an attempt.
 enum AfterAttempt {
     /// It executes this order; `None` means that the queue is closed.
@@ -544,24 +505,3 @@
         Output::Closed => std::future::pending().await,
     }
 }
-
-fn build_arrival(inbound: &InboundRequest) -> Arrival {
-    let fields = &inbound.fields;
-    let host = inbound.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = inbound.uri.host().or(host).unwrap_or_default();
-    Arrival {
-        // The shell sets the key.
-        caller: CallerKey::default(),
-        id: fields.id.clone(),
-        received: inbound.received,
-        host: host.into(),
-        path: inbound.uri.path().into(),
-        api_key: fields.api_key.clone(),
-        time_limit: fields.time_limit,
-        prompt_tokens: fields.prompt_tokens,
-        max_output_tokens: fields.max_output_tokens,
-        output_hint: fields.output_hint,
-        parts: fields.parts.clone(),
-        own_part: fields.own_part,
-    }
-}
--- /dev/null
+++ b/crates/snipespand/src/gateway/request_task/inbound.rs
@@ -0,0 +1,46 @@
+//! A client's request as its task receives it.
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Uri;
+use hyper::header;
+use snipespan_core::gateway::event::Arrival;
+use snipespan_core::keys::CallerKey;
+use snipespan_core::time::Timestamp;
+use snipespan_platform_adapter::headers::RequestFields;
+
+/// A client's request with its complete body.
+#[derive(Debug)]
+pub(in crate::gateway) struct InboundRequest {
+    pub(in crate::gateway) method: Method,
+    pub(in crate::gateway) uri: Uri,
+    pub(in crate::gateway) headers: HeaderMap,
+    pub(in crate::gateway) fields: RequestFields,
+    /// When its head was received.
+    pub(in crate::gateway) received: Timestamp,
+    pub(in crate::gateway) body: Bytes,
+}
+
+impl InboundRequest {
+    /// Returns the arrival of the request, without the key of its caller, which the shell sets.
+    pub(super) fn arrival(&self) -> Arrival {
+        let fields = &self.fields;
+        let host = self.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = self.uri.host().or(host).unwrap_or_default();
+        Arrival {
+            caller: CallerKey::default(),
+            id: fields.id.clone(),
+            received: self.received,
+            host: host.into(),
+            path: self.uri.path().into(),
+            api_key: fields.api_key.clone(),
+            time_limit: fields.time_limit,
+            prompt_tokens: fields.prompt_tokens,
+            max_output_tokens: fields.max_output_tokens,
+            output_hint: fields.output_hint,
+            parts: fields.parts.clone(),
+            own_part: fields.own_part,
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipespand/src/gateway/request_task/partial_answer.rs
@@ -0,0 +1,31 @@
+//! The answer of one attempt while it arrives.
+
+use bytes::BytesMut;
+use hyper::HeaderMap;
+use snipespan_core::gateway::event::AnswerStage;
+use snipespan_core::time::Timestamp;
+
+/// The part of an attempt's answer that was received so far.
+#[derive(Default)]
+pub(super) struct PartialAnswer {
+    pub(super) is_success: bool,
+    /// When its first complete event arrived.
+    pub(super) first_event: Option<Timestamp>,
+    /// Number of reads that completed events.
+    pub(super) reads: u32,
+    pub(super) is_stream: bool,
+    pub(super) status: u16,
+    pub(super) headers: HeaderMap,
+    pub(super) body: BytesMut,
+}
+
+impl PartialAnswer {
+    /// Returns how far the answer has come.
+    pub(super) const fn stage(&self, now: Timestamp) -> AnswerStage {
+        match self.first_event {
+            Some(first) => AnswerStage::Events { reads: self.reads, since_first: now.since(first) },
+            None if self.is_success => AnswerStage::Begun,
+            None => AnswerStage::Awaited,
+        }
+    }
+}
