--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,5 +2,8 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/snipespand ] && [ -x target/review/release/large_bodies ] || exit 2
-CASE_DIR=review/1 exec target/review/release/large_bodies
+export CASE_DIR=review/1
+target/review/release/settings_change
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
