Settings: durations may be fractions, and a deployment's limits 0

Cause: the template puts the deployment's numbers in front of units, and parse_duration accepted whole numbers only. A running gateway keeps its old settings then; one that starts exits with status 1.

--- a/crates/snipespan_core/src/gateway/settings.rs
+++ b/crates/snipespan_core/src/gateway/settings.rs
@@ -13,7 +13,7 @@
     pub data_centre: CompactString,
     /// Maximum number of requests open at once; further requests are refused as overloaded.
     pub max_requests: usize,
-    /// Retries that all gateways together may send, as a share of the requests, from 0 to 1.
+    /// Retries that all gateways together may send, as a share of the requests, at least 0.
     pub retry_ratio: f64,
     /// Number of retries that all gateways together may send in each window in addition to the
     /// share, at least 0.
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -12,7 +12,6 @@
 const ADDRESS_ALLOWED: &str = "an IP address and a port (such as 10.0.0.7:8443; port 0 lets the \
     system choose)";
 const SEEDS_ALLOWED: &str = "IP addresses with or without ports, separated by commas";
-const RATIO_ALLOWED: &str = "a number from 0 to 1";
 const NON_NEGATIVE_ALLOWED: &str = "a number of at least 0";
 
 /// Settings of the gateway role.
@@ -59,12 +58,15 @@
     let store = ini.required(section, "store", ADDRESS_ALLOWED, parse_address);
     let feed_wait = ini.duration(section, "feed_wait", DEFAULT_FEED_WAIT);
     let max_requests = ini.count(section, "max_requests", 1_000_000, 3000) as usize;
-    let retry_ratio = ini.optional(section, "retry_ratio", RATIO_ALLOWED, parse_ratio);
+    // The deployment sets the values from here to `max_hold`, so each that it may state is allowed:
+    // a gateway that refused one could not start again.
+    let retry_ratio =
+        ini.optional(section, "retry_ratio", NON_NEGATIVE_ALLOWED, parse_non_negative);
     let retry_slack =
         ini.optional(section, "retry_slack", NON_NEGATIVE_ALLOWED, parse_non_negative);
-    let retry_window = ini.duration(section, "retry_window", Duration::from_secs(10));
-    let stop_limit = ini.duration(section, "stop_limit", Duration::from_secs(8));
-    let max_reservation_ttl = ini.duration(section, "max_hold", Duration::from_secs(20));
+    let retry_window = ini.duration_or_zero(section, "retry_window", Duration::from_secs(10));
+    let stop_limit = ini.duration_or_zero(section, "stop_limit", Duration::from_secs(8));
+    let max_reservation_ttl = ini.duration_or_zero(section, "max_hold", Duration::from_secs(20));
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -108,10 +110,6 @@
     Some(SocketAddr::new(address.ip(), port))
 }
 
-fn parse_ratio(text: &str) -> Option<f64> {
-    parse_non_negative(text).filter(|value| *value <= 1.0)
-}
-
 fn parse_non_negative(text: &str) -> Option<f64> {
     text.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
 }
--- a/crates/snipespan_settings/src/ini_file.rs
+++ b/crates/snipespan_settings/src/ini_file.rs
@@ -102,6 +102,16 @@
         self.optional(section, key, DURATION_ALLOWED, positive).unwrap_or(default)
     }
 
+    /// Reads a duration of at least 0; returns `default` if the key is absent or not allowed.
+    pub fn duration_or_zero(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: Duration,
+    ) -> Duration {
+        self.optional(section, key, DURATION_ALLOWED, parse_duration).unwrap_or(default)
+    }
+
     /// Reads a size of at least one byte; returns `default` if the key is absent or not allowed.
     pub fn size(&mut self, section: &'static str, key: &'static str, default: u64) -> u64 {
         let positive = |text: &str| parse_size(text).filter(|value| *value > 0);
--- a/crates/snipespan_settings/src/units.rs
+++ b/crates/snipespan_settings/src/units.rs
@@ -3,14 +3,24 @@
 use std::time::Duration;
 
 /// Allowed format of a duration, for error messages.
-pub const DURATION_ALLOWED: &str = "a whole number with a unit: us, ms, s, m, h (such as 250ms)";
+pub const DURATION_ALLOWED: &str =
+    "a number of at least 0 with a unit: us, ms, s, m, h (such as 250ms or 1.5s)";
 
 /// Allowed format of a size, for error messages.
 pub const SIZE_ALLOWED: &str = "a whole number with a unit: B, KiB, MiB, GiB (such as 16MiB)";
 
-/// Parses a duration; `None` if the unit is missing or unknown, the number is not whole, or the
-/// number or the duration in seconds does not fit in 64 bits.
+/// Units of durations with their length in seconds; a unit follows those that end with its name.
+const SECONDS_PER_UNIT: [(&str, f64); 5] =
+    [("us", 1e-6), ("ms", 1e-3), ("s", 1.0), ("m", 60.0), ("h", 3600.0)];
+
+/// Parses a duration, whose number may be a fraction; `None` if the unit is missing or unknown, the
+/// number is negative or not finite, or the duration in seconds does not fit in 64 bits.
 pub fn parse_duration(text: &str) -> Option<Duration> {
+    parse_whole_duration(text).or_else(|| parse_fractional_duration(text))
+}
+
+/// Parses a duration with a whole number of units, without rounding.
+fn parse_whole_duration(text: &str) -> Option<Duration> {
     let (number, unit) = split_unit(text)?;
     match unit {
         "us" => Some(Duration::from_micros(number)),
@@ -22,6 +32,16 @@
     }
 }
 
+/// Parses a duration with any number of units, rounded to nanoseconds.
+fn parse_fractional_duration(text: &str) -> Option<Duration> {
+    let mut split = SECONDS_PER_UNIT.iter().filter_map(|(unit, seconds)| {
+        text.strip_suffix(unit).map(|number| (number.trim_end(), *seconds))
+    });
+    let (number, seconds) = split.next()?;
+    let number: f64 = number.parse().ok()?;
+    Duration::try_from_secs_f64(number * seconds).ok()
+}
+
 /// Parses a size and returns it in bytes; `None` if the unit is missing or unknown, the number is
 /// not whole, or the size does not fit in 64 bits.
 pub fn parse_size(text: &str) -> Option<u64> {
--- a/crates/snipespand/tests/gateway/configuration.rs
+++ b/crates/snipespand/tests/gateway/configuration.rs
@@ -90,3 +90,19 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     assert_eq!(gateway.call(Method::GET, "/look/1", "request-1").await.status, 200);
 }
+
+/// Guards against a gateway that cannot start again after its settings have changed to a fraction
+/// without a signal.
+#[tokio::test]
+async fn gateway_starts_again_after_a_limit_became_a_fraction() {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    let text = std::fs::read_to_string(&gateway.config).expect("the settings");
+    let text = text.replace("stop_limit = 8s", "stop_limit = 7.5s");
+    std::fs::write(&gateway.config, text).expect("the settings are written");
+    gateway.wait_for_log("settings reloaded", None).await;
+    gateway.signal(Signal::SIGKILL);
+    let again = Gateway::start(gateway.config.clone());
+    again.wait_until_ready(true).await;
+    assert_eq!(again.call(Method::GET, "/look/1", "request-1").await.status, 200);
+}
