Store: notice a lost call to the feed within the time to be in step again

Cause: a call to the feed that reaches a silent store, or waits on a connection that fell silent, shows only when its wait of 3.5 s and a second more are over. After a change the watcher pauses for 0.25 or 0.6 s and then sends a call that waits at once; a silence that begins in the pause swallows it, at all gateways alike.

Evidence: the new tests fail before: in force 3.95 s after the store's return, 4.46 s after the connections fell silent, and four runs at a replica that had left.

Why this works: a call waits only within 50 ms of an answer. After a pause, an outage, or a time in which peers relayed the changes, the first call does not wait, so a silence shows after 0.75 s. What is left, a silence that begins between an answer and the next call, or a connection that falls silent, is noticed after 2.8 s at most instead of 4.5 s, and the first retry follows at once instead of after up to 0.4 s.

The factor on the wait for the gateways' own listings keeps it at 14 s.

--- a/crates/snipespan_fakes/src/fault_proxy.rs
+++ b/crates/snipespan_fakes/src/fault_proxy.rs
@@ -45,11 +45,20 @@
 pub struct FaultProxy {
     address: SocketAddr,
     fault: watch::Sender<Fault>,
+    /// Number of times that the open connections were silenced.
+    silences: watch::Sender<u32>,
     target: Arc<Mutex<SocketAddr>>,
     callers: Callers,
     task: JoinHandle<()>,
 }
 
+/// The faults of a proxy, as its connections follow them.
+#[derive(Clone, Debug)]
+struct Faults {
+    fault: watch::Receiver<Fault>,
+    silences: watch::Receiver<u32>,
+}
+
 /// Address of the caller of each open connection, by the proxy's own address towards the target.
 type Callers = Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>;
 
@@ -69,12 +78,14 @@
     pub async fn start_at(ip: IpAddr, target: SocketAddr) -> Result<Self> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
-        let (fault, rx) = watch::channel(Fault::None);
+        let (fault, fault_rx) = watch::channel(Fault::None);
+        let (silences, silences_rx) = watch::channel(0);
+        let faults = Faults { fault: fault_rx, silences: silences_rx };
         let callers = Callers::default();
         let target = Arc::new(Mutex::new(target));
-        let running = run_proxy(listener, Arc::clone(&target), rx, Arc::clone(&callers));
+        let running = run_proxy(listener, Arc::clone(&target), faults, Arc::clone(&callers));
         let task = tokio::spawn(running);
-        Ok(Self { address, fault, target, callers, task })
+        Ok(Self { address, fault, silences, target, callers, task })
     }
 
     /// Returns the address of the caller whose open connection the target sees as one from `own`.
@@ -96,6 +107,11 @@
     pub fn set_fault(&self, fault: Fault) {
         self.fault.send_replace(fault);
     }
+
+    /// Holds back all bytes of the connections that are open now, for good; later ones work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
 }
 
 impl Drop for FaultProxy {
@@ -108,17 +124,17 @@
 async fn run_proxy(
     mut listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
-    mut fault: watch::Receiver<Fault>,
+    mut faults: Faults,
     callers: Callers,
 ) {
     let Ok(address) = listener.local_addr() else { return };
     loop {
-        let mut down = fault.clone();
+        let mut down = faults.fault.clone();
         tokio::select! {
-            () = accept_connections(&listener, &target, &fault, &callers) => return,
+            () = accept_connections(&listener, &target, &faults, &callers) => return,
             () = wait_until(&mut down, |fault| fault == Fault::Down) => drop(listener),
         }
-        wait_until(&mut fault, |fault| fault != Fault::Down).await;
+        wait_until(&mut faults.fault, |fault| fault != Fault::Down).await;
         listener = loop {
             match TcpListener::bind(address).await {
                 Ok(listener) => break listener,
@@ -134,15 +150,15 @@
 async fn accept_connections(
     listener: &TcpListener,
     target: &Mutex<SocketAddr>,
-    fault: &watch::Receiver<Fault>,
+    faults: &Faults,
     callers: &Callers,
 ) {
     while let Ok((client, caller)) = listener.accept().await {
-        let fault = fault.clone();
+        let faults = faults.clone();
         let callers = Arc::clone(callers);
         let target = *lock(target);
         tokio::spawn(async move {
-            if resets(*fault.borrow()) {
+            if resets(*faults.fault.borrow()) {
                 return;
             }
             let Ok(server) = TcpStream::connect(target).await else { return };
@@ -150,7 +166,7 @@
             if let Some(own) = own {
                 lock(&callers).insert(own, caller);
             }
-            forward_connection(client, server, fault).await;
+            forward_connection(client, server, faults).await;
             if let Some(own) = own {
                 lock(&callers).remove(&own);
             }
@@ -158,19 +174,15 @@
     }
 }
 
-async fn forward_connection(
-    mut client: TcpStream,
-    mut server: TcpStream,
-    mut fault: watch::Receiver<Fault>,
-) {
+async fn forward_connection(mut client: TcpStream, mut server: TcpStream, mut faults: Faults) {
     let is_reset = {
         let (client_reader, client_writer) = client.split();
         let (server_reader, server_writer) = server.split();
-        let requests = forward_bytes(client_reader, server_writer, fault.clone());
-        let answers = forward_bytes(server_reader, client_writer, fault.clone());
+        let requests = forward_bytes(client_reader, server_writer, faults.clone());
+        let answers = forward_bytes(server_reader, client_writer, faults.clone());
         tokio::select! {
             _ = async { tokio::join!(requests, answers) } => false,
-            () = wait_until(&mut fault, resets) => true,
+            () = wait_until(&mut faults.fault, resets) => true,
         }
     };
     if is_reset {
@@ -196,12 +208,16 @@
 async fn forward_bytes(
     mut reader: impl AsyncReadExt + Unpin,
     mut writer: impl AsyncWriteExt + Unpin,
-    mut fault: watch::Receiver<Fault>,
+    mut faults: Faults,
 ) {
+    let opened_at = *faults.silences.borrow();
     let mut buf = vec![0; COPY_BYTES];
     while let Ok(read) = reader.read(&mut buf).await {
-        wait_until(&mut fault, |fault| fault != Fault::Freeze).await;
-        let now = *fault.borrow();
+        wait_until(&mut faults.fault, |fault| fault != Fault::Freeze).await;
+        if *faults.silences.borrow() != opened_at {
+            std::future::pending::<()>().await;
+        }
+        let now = *faults.fault.borrow();
         if let Fault::Delay(delay) = now {
             tokio::time::sleep(delay).await;
         }
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -38,10 +38,10 @@
 
 /// Default maximum wait of a call to the store's feed.
 ///
-/// A call to a store that stops responding ends only when its wait ends. After the store's
-/// recovery, a gateway must apply a new listing within five seconds: three until the gateway counts
-/// as connected to the store, and two for the listing.
-const DEFAULT_FEED_WAIT: Duration = Duration::from_millis(3500);
+/// The loss of a call, to a store that fell silent or on a connection that did, is noticed only
+/// after its wait and the 750 ms for an answer. The shortest time after which a deployment counts a
+/// gateway as connected to the store again is three seconds; by then it must have the changes.
+const DEFAULT_FEED_WAIT: Duration = Duration::from_millis(2050);
 
 pub(crate) fn read_gateway(
     ini: &mut IniFile,
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -13,6 +13,7 @@
 use snipespan_core::gateway::event::ListingChange;
 use snipespan_core::gateway::event::ListingsUpdate;
 use snipespan_core::gateway::event::StoreVersion;
+use snipespan_core::time::Timestamp;
 use snipespan_platform_adapter::error::CallError;
 use snipespan_platform_adapter::listing;
 use snipespan_platform_adapter::paths::CONFIGURATION_KEY;
@@ -55,7 +56,11 @@
 
 /// Factor on the maximum wait for changes of the gateways' listings, for which there is no time
 /// limit.
-const GATEWAYS_WAIT_FACTOR: u32 = 4;
+const GATEWAYS_WAIT_FACTOR: u32 = 7;
+
+/// Time after an answer within which the next call waits for changes. A later call may reach a store
+/// that has fallen silent meanwhile, which shows only when the whole wait is over.
+const CONFIRMED_FOR: Duration = Duration::from_millis(50);
 
 /// Maximum wait of one call for changes while peers rely on this gateway. A store that no longer
 /// answers this gateway is noticed within this time and the time for an answer.
@@ -106,6 +111,8 @@
     gateways: Vec<(CompactString, SocketAddr)>,
     /// Whether the store answered the last call; `None` before the first one.
     is_reachable: Option<bool>,
+    /// When the store last answered.
+    answered: Timestamp,
 }
 
 /// Starts to follow the tables, and lists this gateway as `node` at `own_address` in the store.
@@ -130,6 +137,7 @@
             own_address,
             gateways: Vec::new(),
             is_reachable: None,
+            answered: Timestamp::ZERO,
         };
         tokio::spawn(watcher.run());
     }
@@ -160,15 +168,16 @@
         self.apply_snapshot(snapshot).await;
         loop {
             version = self.wait_until_followed(version).await;
-            // After an outage the first call does not wait for changes, so that the gateway learns
-            // at once that the store is reachable again.
-            let was_reachable = self.is_reachable == Some(true);
-            let wait = if was_reachable { self.current_wait() } else { Duration::ZERO };
+            let wait = self.current_wait(self.cx.clock.now());
             let update = match self.store.poll_feed(self.table.name(), version, wait).await {
                 Ok(update) => update,
                 Err(e) => {
+                    let was_reachable = self.is_reachable == Some(true);
                     self.record_reachability(false, Some(&e)).await;
-                    pause_before_retry(self.table).await;
+                    // The store may be back long before the loss of a call that waits is noticed.
+                    if !was_reachable || !e.is_connection_lost() {
+                        pause_before_retry(self.table).await;
+                    }
                     continue;
                 }
             };
@@ -213,10 +222,15 @@
         }
     }
 
-    fn current_wait(&self) -> Duration {
-        match self.mode() {
-            FeedMode::ForPeers => self.feed_wait.min(FOLLOWER_WAIT),
-            FeedMode::Alone | FeedMode::Relayed => self.feed_wait,
+    /// Returns how long a call sent at `now` waits for a change: not at all if the store has not
+    /// just answered, so that an outage or its end shows at once.
+    fn current_wait(&self, now: Timestamp) -> Duration {
+        let is_confirmed =
+            self.is_reachable == Some(true) && now.since(self.answered) < CONFIRMED_FOR;
+        match (self.table, self.mode()) {
+            (Table::Operator | Table::Listings, _) if !is_confirmed => Duration::ZERO,
+            (_, FeedMode::ForPeers) => self.feed_wait.min(FOLLOWER_WAIT),
+            (_, FeedMode::Alone | FeedMode::Relayed) => self.feed_wait,
         }
     }
 
@@ -245,6 +259,9 @@
     async fn record_reachability(&mut self, is_reachable: bool, cause: Option<&CallError>) {
         let is_changed = self.is_reachable != Some(is_reachable);
         self.is_reachable = Some(is_reachable);
+        if is_reachable {
+            self.answered = self.cx.clock.now();
+        }
         if let Some(cause) = cause.filter(|_| is_changed) {
             log::info!(table = self.table.name(); "the store does not answer: {cause}");
         }
--- a/crates/snipespand/tests/gateway/configuration.rs
+++ b/crates/snipespand/tests/gateway/configuration.rs
@@ -5,34 +5,14 @@
 
 use hyper::Method;
 use nix::sys::signal::Signal;
-use serde_json::json;
 use snipespan_fakes::fault_proxy::Fault;
 use snipespan_fakes::fault_proxy::FaultProxy;
 
 use crate::harness::Gateway;
 use crate::harness::TestPlatform;
 use crate::harness::configuration;
-
-/// Waits until a request with the API key `key-1` is denied, which shows that the configuration
-/// with the other key is in force.
-async fn wait_until_denied(gateway: &Gateway) {
-    let began = Instant::now();
-    for number in 0.. {
-        let id = format!("probe-{number}");
-        if gateway.call(Method::GET, "/look/1", &id).await.status == 401 {
-            return;
-        }
-        assert!(began.elapsed() < Duration::from_secs(5), "the key is still accepted");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
-/// Returns a serving configuration that accepts the API key `key-2` in place of `key-1`.
-fn configuration_with_other_key(version: u64) -> serde_json::Value {
-    let mut changed = configuration(version);
-    changed["tenants"][0]["api_keys"] = json!(["key-2"]);
-    changed
-}
+use crate::harness::configuration_with_other_key;
+use crate::harness::wait_until_denied;
 
 /// Guards against a changed configuration in the store that is applied too late.
 #[tokio::test]
--- a/crates/snipespand/tests/gateway/harness.rs
+++ b/crates/snipespand/tests/gateway/harness.rs
@@ -387,3 +387,24 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Waits until a request with the API key `key-1` is denied, which shows that the configuration
+/// with the other key is in force.
+pub(crate) async fn wait_until_denied(gateway: &Gateway) {
+    let began = Instant::now();
+    for number in 0.. {
+        let id = format!("probe-{number}");
+        if gateway.call(Method::GET, "/look/1", &id).await.status == 401 {
+            return;
+        }
+        assert!(began.elapsed() < Duration::from_secs(5), "the key is still accepted");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns a serving configuration that accepts the API key `key-2` in place of `key-1`.
+pub(crate) fn configuration_with_other_key(version: u64) -> Value {
+    let mut changed = configuration(version);
+    changed["tenants"][0]["api_keys"] = json!(["key-2"]);
+    changed
+}
--- a/crates/snipespand/tests/gateway/store.rs
+++ b/crates/snipespand/tests/gateway/store.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway whose store fails or holds invalid rows.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Method;
 use rstest::rstest;
@@ -10,6 +11,15 @@
 use snipespan_fakes::users_platform::store::StoreFault;
 
 use crate::harness::TestPlatform;
+use crate::harness::configuration;
+use crate::harness::configuration_with_other_key;
+use crate::harness::wait_until_denied;
+
+/// Shortest time after which a deployment counts a gateway as connected to the store again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Shortest time in which a deployment requires a change of the listings to be in force.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
 /// Guards against a gateway that fails requests or is not ready because the store fails after the
 /// gateway has read it.
@@ -131,3 +141,63 @@
     assert!(platform.store.calls() - before <= 3, "at most one call per table in 2 s");
     drop(gateway);
 }
+
+/// Guards against a withdrawn key that is accepted for seconds after a short silence of the store,
+/// because the gateway waits for the answer to a call that it sent meanwhile.
+#[rstest]
+#[case::call_sent_in_the_silence(100)]
+#[case::call_sent_before_the_silence(1500)]
+#[tokio::test]
+async fn silent_store_delays_no_configuration(#[case] silent_after_ms: u64) {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    // The gateway calls again soon after a change.
+    platform.store.put("op", "config", &configuration(2));
+    tokio::time::sleep(Duration::from_millis(silent_after_ms)).await;
+    platform.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.store.set_fault(StoreFault::None);
+    let returned = Instant::now();
+    platform.store.put("op", "config", &configuration_with_other_key(3));
+    wait_until_denied(&gateway).await;
+    let took = returned.elapsed();
+    assert!(took < CONTACT_TIME, "in force {took:?} after the store's return");
+}
+
+/// Guards against a change that is missed for seconds because the gateway's connections to the store
+/// are silent for good while new ones work.
+#[tokio::test]
+async fn silent_connections_delay_no_configuration() {
+    let platform = TestPlatform::start(1).await;
+    let proxy = FaultProxy::start(platform.store.address()).await.expect("a proxy");
+    let gateway = platform.gateway_at("gateway-1", proxy.address(), "").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    proxy.silence_connections();
+    let silenced = Instant::now();
+    platform.store.put("op", "config", &configuration_with_other_key(2));
+    wait_until_denied(&gateway).await;
+    let took = silenced.elapsed();
+    assert!(took < CONTACT_TIME, "in force {took:?} after the connections fell silent");
+}
+
+/// Guards against a replica that is used for seconds after its listing was removed, because it
+/// counts as lapsed in a short silence of the store that is over for long.
+#[tokio::test]
+async fn silent_store_delays_no_removal() {
+    let platform = TestPlatform::start(2).await;
+    let gateway = platform.gateway("gateway-1").await;
+    // The gateway calls again soon after a change.
+    platform.set_state(&platform.engines[0], "draining");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    platform.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.store.set_fault(StoreFault::None);
+    tokio::time::sleep(CONTACT_TIME + Duration::from_millis(200)).await;
+    platform.store.remove("servers", platform.plain[0].id());
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    for number in 0..8 {
+        let answer = gateway.call(Method::POST, "/order/1", &format!("request-{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(platform.plain[0].runs().len(), 0);
+}
