Membership: count lapses from the store's answers to peers too

Second cause: a removal counted as a lapse for 2.2 s from the moment at which this gateway had an answer again. One whose own way to the store was cut took all removals for lapses, though its peers had answers throughout.

Evidence: removed_listing_has_not_lapsed_while_the_store_answers_a_peer and small_group_reports_answers_of_the_store fail before.

Why this works: gateways report the age of the store's last answer, now in groups too small for relaying as well. The time counts from the first answer to a peer since this gateway lost the store, unless an outage lies between it and the own answer.

--- a/crates/snipespan_core/src/gateway/systems/feeds.rs
+++ b/crates/snipespan_core/src/gateway/systems/feeds.rs
@@ -18,6 +18,7 @@
 use crate::gateway::event::StoreVersion;
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::tables::peers::Peer;
+use crate::gateway::world::AnsweredSpan;
 use crate::gateway::world::World;
 use crate::time::Timestamp;
 
@@ -36,6 +37,10 @@
 /// shortest time in which a deployment requires a change to be in force is two seconds.
 const MAX_FEED_AGE: Duration = Duration::from_millis(1500);
 
+/// Time between two answers of the store to a peer from which an outage may lie between them; a call
+/// of a peer that waits for a change is answered, or known to be lost, within less.
+const MAX_ANSWER_GAP: Duration = Duration::from_secs(3);
+
 /// Records that the complete list was read; returns whether it is newer than the copy.
 pub fn record_read(world: &mut World, now: Timestamp, version: StoreVersion) -> bool {
     let copy = &mut world.listings;
@@ -85,6 +90,7 @@
 /// Decides how the feeds are followed from now on; returns when that may change without an event.
 pub fn run(world: &mut World, now: Timestamp, effects: &mut Vec<Effect>) -> Option<Timestamp> {
     apply_reports(world, now);
+    record_peer_answers(world);
     let plan = plan_feeds(world, now);
     let current = world.listings.plan;
     if (plan.operator, plan.listings) != (current.operator, current.listings) {
@@ -110,17 +116,44 @@
     }
 }
 
+/// Records when the store answered peers while this gateway had lost it.
+fn record_peer_answers(world: &mut World) {
+    if world.store.is_reachable {
+        return;
+    }
+    let lost = world.store.since;
+    let reports = world.peers.iter().filter_map(|(_, peer)| peer.feed);
+    let answers = reports.map(|(report, received)| received.before(age_of(report)));
+    for answered in answers.filter(|answered| *answered >= lost) {
+        let span = world.store.peer_answers.filter(|span| !is_outage(span.last, answered));
+        let span = span.unwrap_or(AnsweredSpan { first: answered, last: answered });
+        let (first, last) = (span.first.min(answered), span.last.max(answered));
+        world.store.peer_answers = Some(AnsweredSpan { first, last });
+    }
+}
+
+fn is_outage(answered: Timestamp, again: Timestamp) -> bool {
+    again.since(answered) >= MAX_ANSWER_GAP
+}
+
+/// Returns when the store was back, as far as this gateway knows: when it answered this one again,
+/// or earlier if it had answered peers without an outage until then. An outage that is not over
+/// counts as over at `now`.
+pub fn store_returned(world: &World, now: Timestamp) -> Timestamp {
+    let own = if world.store.is_reachable { world.store.since } else { now };
+    let of_peers = world.store.peer_answers.filter(|span| !is_outage(span.last, own));
+    of_peers.map_or(own, |span| span.first.min(own))
+}
+
 fn plan_feeds(world: &World, now: Timestamp) -> FeedPlan {
     let listings_version = world.listings.version;
     let serving = world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default();
     let own_rank = rank_of(&world.settings.node);
-    let mut gateways = 1;
     let mut before = 0;
     let mut is_relayed = false;
     let mut has_all_changes = true;
     let mut has_newest_serving = true;
     for (_, peer) in world.peers.iter().filter(|(_, peer)| peer.is_alive(now)) {
-        gateways += 1;
         before += usize::from(peer.rank < own_rank);
         has_newest_serving &= peer.version <= serving;
         if let Some((report, _)) = current_report(peer, now) {
@@ -128,7 +161,7 @@
             has_all_changes &= report.last_change <= listings_version;
         }
     }
-    if gateways < MIN_GATEWAYS {
+    if count_gateways(world, now) < MIN_GATEWAYS {
         return FeedPlan { listings_version, ..FeedPlan::default() };
     }
     if before < FOLLOWERS {
@@ -146,6 +179,11 @@
     }
 }
 
+/// Returns the number of gateways that were heard lately, this one included.
+fn count_gateways(world: &World, now: Timestamp) -> usize {
+    1 + world.peers.iter().filter(|(_, peer)| peer.is_alive(now)).count()
+}
+
 /// Returns the rank of a gateway by its name; those with the lowest ranks follow the feeds.
 pub fn rank_of(node: &str) -> u64 {
     xxh3_64(node.as_bytes())
@@ -155,20 +193,26 @@
 /// ago.
 fn current_report(peer: &Peer, now: Timestamp) -> Option<(FeedReport, Timestamp)> {
     let (report, received) = peer.feed?;
-    let age = now.since(received) + Duration::from_millis(u64::from(report.age_ms));
+    let age = now.since(received) + age_of(report);
     (age < MAX_FEED_AGE).then(|| (report, now.before(age)))
 }
 
+fn age_of(report: FeedReport) -> Duration {
+    Duration::from_millis(u64::from(report.age_ms))
+}
+
 /// Returns when the last follower is no longer current, if no report arrives.
 fn current_until(world: &World, now: Timestamp) -> Option<Timestamp> {
     let reports = world.peers.iter().filter_map(|(_, peer)| current_report(peer, now));
     reports.map(|(_, answered)| answered.after(MAX_FEED_AGE)).max()
 }
 
-/// Returns this gateway's report on its copy, if it follows for its peers and the store answers.
+/// Returns this gateway's report on its copy, if it follows for its peers, or if there are too few
+/// gateways for relaying, so that each follows the feed, and the store has answered.
 pub fn own_report(world: &World, now: Timestamp) -> Option<FeedReport> {
     let copy = &world.listings;
-    if copy.plan.listings != FeedMode::ForPeers {
+    let is_follower = copy.plan.listings == FeedMode::ForPeers;
+    if !is_follower && count_gateways(world, now) >= MIN_GATEWAYS {
         return None;
     }
     let age_ms = now.since(copy.answered?).as_millis().min(u128::from(u32::MAX)) as u32;
--- a/crates/snipespan_core/src/gateway/systems/membership.rs
+++ b/crates/snipespan_core/src/gateway/systems/membership.rs
@@ -148,13 +148,10 @@
     key: BackendServerKey,
     effects: &mut Vec<Effect>,
 ) {
-    let store = world.store;
-    let may_have_lapsed = !store.is_reachable || now.since(store.since) < RELIST_TIMEOUT;
+    let until = feeds::store_returned(world, now).after(RELIST_TIMEOUT);
     let Some(row) = world.backend_servers.rows.get_mut(key) else { return };
     // A backend server that was draining has left.
-    if may_have_lapsed && row.accepts_work() {
-        let from = if store.is_reachable { store.since } else { now };
-        let until = from.after(RELIST_TIMEOUT);
+    if now < until && row.accepts_work() {
         row.availability = Availability::Lapsed { until };
         log_change(row, "listing lapsed with the store", effects);
         return;
--- a/crates/snipespan_core/src/gateway/systems/serving.rs
+++ b/crates/snipespan_core/src/gateway/systems/serving.rs
@@ -66,5 +66,8 @@
     let lasted = now.since(world.store.since);
     world.store.is_reachable = is_reachable;
     world.store.since = now;
+    if !is_reachable {
+        world.store.peer_answers = None;
+    }
     effects.push(Effect::LogDecision(Box::new(Decision::StoreChanged { is_reachable, lasted })));
 }
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -42,6 +42,15 @@
 /// designed.
 const MAX_WORK: usize = 65_536;
 
+/// Span in which the store answered peers without an outage.
+#[derive(Clone, Copy, Debug)]
+pub struct AnsweredSpan {
+    /// First answer.
+    pub first: Timestamp,
+    /// Last answer.
+    pub last: Timestamp,
+}
+
 /// State of the connection to the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreLink {
@@ -51,6 +60,8 @@
     pub since: Timestamp,
     /// When the store last answered; `None` if it never did.
     pub last_answer: Option<Timestamp>,
+    /// Answers to peers since this gateway lost the store; `None` if they report none.
+    pub peer_answers: Option<AnsweredSpan>,
     /// Whether the listings of backend servers were read since the process started.
     pub has_listings: bool,
 }
--- a/crates/snipespan_core/tests/gateway/membership.rs
+++ b/crates/snipespan_core/tests/gateway/membership.rs
@@ -1,7 +1,13 @@
 use std::time::Duration;
 
+use rstest::rstest;
+use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::event::FeedReport;
 use snipespan_core::gateway::event::Listing;
+use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::event::PeerUpdate;
+use snipespan_core::gateway::event::StoreVersion;
 
 use crate::kit;
 use crate::kit::ENGINE;
@@ -72,6 +78,61 @@
     assert!(!kit.backend_servers().contains(&kit::listing(ENGINE, 1).id));
 }
 
+/// Lets a peer report that the store answered it `age_ms` ago.
+fn hear_of_answer(kit: &mut Kit, sequence: u64, age_ms: u32) {
+    let version = StoreVersion(1);
+    let feed = Some(FeedReport { version, last_change: version, age_ms });
+    let update = PeerUpdate::Snapshot(Vec::new());
+    let message = PeerMessage { feed, ..kit::peer_message(sequence, 1, update) };
+    kit.step(vec![Event::PeerMessageReceived { from: kit::peer_address(1), message }]);
+}
+
+/// Guards against using a backend server that has left, because its removal counts as a lapse: this
+/// gateway lost its own way to the store, which answered a peer all the while.
+#[test]
+fn removed_listing_has_not_lapsed_while_the_store_answers_a_peer() {
+    let mut kit = Kit::new(2);
+    kit.step(vec![Event::StoreLost]);
+    for sequence in 1..=4 {
+        kit.advance(Duration::from_secs(1));
+        hear_of_answer(&mut kit, sequence, 200);
+    }
+    kit.step(vec![Event::StoreAnswered, kit.listing_removed(ENGINE, 1)]);
+    let (_, sent) = kit.send("/draft/1", 5_000);
+    assert_eq!(sent.address, kit::listing(ENGINE, 2).address);
+    assert!(!kit.backend_servers().contains(&kit::listing(ENGINE, 1).id));
+}
+
+/// Guards against removing a backend server that lapsed in an outage of the store, because a peer
+/// had an answer before the outage, or before this gateway lost the store.
+#[rstest]
+#[case::answer_before_the_outage(&[0, 1000, 2000, 3000, 4000])]
+#[case::answer_before_the_loss(&[500, 1500, 2500, 3500, 4500])]
+fn lapsed_listing_is_kept_after_an_outage_for_all(#[case] ages_ms: &[u32]) {
+    let mut kit = Kit::new(2);
+    kit.step(vec![Event::StoreLost]);
+    for (sequence, age_ms) in (1..).zip(ages_ms) {
+        hear_of_answer(&mut kit, sequence, *age_ms);
+        kit.advance(Duration::from_secs(1));
+    }
+    kit.step(vec![Event::StoreAnswered, kit.listing_removed(ENGINE, 1)]);
+    assert!(kit.backend_servers().contains(&kit::listing(ENGINE, 1).id));
+}
+
+/// Guards against a gateway in a small group that does not tell its peers that the store answers.
+#[test]
+fn small_group_reports_answers_of_the_store() {
+    let mut kit = Kit::new(1);
+    hear_of_answer(&mut kit, 1, 200);
+    kit.step(vec![kit.listing_changed(kit::listing(ENGINE, 1))]);
+    kit.run_until(kit.now.after(Duration::from_secs(2)));
+    let report = kit.effects.iter().find_map(|effect| match effect {
+        Effect::NotifyPeers { message, .. } => message.feed,
+        _ => None,
+    });
+    assert!(report.is_some(), "{:?}", kit.effects);
+}
+
 #[test]
 fn address_taken_by_another_service_is_another_backend_server() {
     let mut kit = Kit::new(1);
