--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -90,6 +90,64 @@
     assert_eq!((server.connections(), platform.plain_runs()), (1, 1));
 }
 
+/// Guards against a success, framed as whole, that a gateway makes of an answer whose server stopped
+/// in the middle of the head, at any byte.
+#[rstest]
+#[case::length(
+    "/order/1",
+    PLAIN,
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\n"
+)]
+#[case::chunked(
+    "/order/1",
+    PLAIN,
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+)]
+#[case::no_length(
+    "/order/1",
+    PLAIN,
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\nconnection: close\r\n\r"
+)]
+#[case::line_feeds("/order/1", PLAIN, "HTTP/1.1 200 OK\nserver-stamp: s\nconnection: close\n")]
+#[case::old_version("/order/1", PLAIN, "HTTP/1.0 200 OK\r\nserver-stamp: s\r\n\r")]
+#[case::after_an_interim(
+    "/order/1",
+    PLAIN,
+    "HTTP/1.1 103 X\r\nserver-stamp: s\r\n\r\nHTTP/1.1 200 OK\r\nserver-stamp: s\r\n"
+)]
+#[case::stream(
+    "/stream/1",
+    ENGINE,
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\n\r\n"
+)]
+#[case::chunked_stream(
+    "/stream/1",
+    ENGINE,
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+)]
+#[tokio::test]
+async fn head_that_stops_midway_is_no_answer(
+    #[case] path: &str,
+    #[case] service: &str,
+    #[case] head: &str,
+) {
+    let platform = TestPlatform::start(0).await;
+    let server = ScriptedServer::start(vec![Script::Cut(head.to_owned())]).await;
+    // One listing for each request, so that no failure suspends the server for the next one.
+    for number in 0..head.len() {
+        platform.store.put("servers", &format!("s-{number}"), &server.listing(service));
+    }
+    let gateway = platform.gateway("gateway-1").await;
+    let cuts = (0..=head.len()).map(|at| {
+        let gateway = &gateway;
+        async move { (at, gateway.call(Method::POST, path, &format!("cut-{at}")).await) }
+    });
+    for (at, answer) in futures_util::future::join_all(cuts).await {
+        assert!(answer.status >= 400, "{} after {:?}", answer.status, &head[..at]);
+    }
+    assert!(server.connections() > head.len(), "{} sends", server.connections());
+}
+
 /// Returns an answer that is neither the rest of a stream nor a refusal.
 fn error(status: u16, body: &str) -> String {
     let length = body.len();
@@ -126,6 +184,8 @@
 #[case::own_failure(&error(500, "broken\n\n"))]
 #[case::unsigned_failure("HTTP/1.1 502 X\r\n\r\nbroken\n\n")]
 #[case::refusal("HTTP/1.1 503 X\r\nnot-executed: 1\r\n\r\nbusy\n\n")]
+#[case::head_that_stops_midway("HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-type: text/ev")]
+#[case::head_without_its_end(STREAM_HEAD.trim_end())]
 #[case::no_content("HTTP/1.1 204 X\r\nserver-stamp: s\r\n\r\n")]
 #[case::not_modified("HTTP/1.1 304 X\r\nserver-stamp: s\r\n\r\n")]
 #[case::partial_content(&error(206, &events(3, 4)))]
--- a/crates/snipespand/tests/gateway/scripted.rs
+++ b/crates/snipespand/tests/gateway/scripted.rs
@@ -23,6 +23,9 @@
     Close(String),
     /// Writes the bytes and resets the connection.
     Reset(String),
+    /// Writes as many of the bytes as the number in the request's id `cut-NUMBER` says, and closes
+    /// the connection.
+    Cut(String),
 }
 
 /// A running server; its first connection plays the first script, and so on. Connections beyond the
@@ -64,11 +67,22 @@
 
 async fn play(mut stream: TcpStream, script: Script) {
     let mut buf = [0; 4096];
-    let _ = stream.read(&mut buf).await;
-    let (Script::Close(bytes) | Script::Reset(bytes)) = &script;
-    let _ = stream.write_all(bytes.as_bytes()).await;
+    let read = stream.read(&mut buf).await.unwrap_or(0);
+    let bytes = match &script {
+        Script::Close(bytes) | Script::Reset(bytes) => bytes.as_bytes(),
+        Script::Cut(bytes) => {
+            let at = requested_cut(&String::from_utf8_lossy(&buf[..read]));
+            &bytes.as_bytes()[..at.unwrap_or(bytes.len())]
+        }
+    };
+    let _ = stream.write_all(bytes).await;
     tokio::time::sleep(CLOSE_PAUSE).await;
     if let Script::Reset(_) = script {
         let _ = stream.set_zero_linger();
     }
 }
+
+fn requested_cut(request: &str) -> Option<usize> {
+    let (_, rest) = request.split_once("attempt-id: cut-")?;
+    rest.lines().next()?.parse().ok()
+}
