Planned stop: wait until clients have taken their answers

Cause: the stop counted a request as done when its answer was handed to the HTTP library, and waited 0.3 s more for the connections, whatever was left of the limit.

Why this works: the core names the time until which answers may be written, and the process waits so long for its clients' connections, which end when their last answer is written.

--- a/crates/snipespan_core/src/gateway/effect.rs
+++ b/crates/snipespan_core/src/gateway/effect.rs
@@ -106,8 +106,12 @@
     CloseConnections,
     /// Close idle connections and accept no new ones.
     StopAccepting,
-    /// Stop the process; all work of a planned stop is done.
-    Stop,
+    /// Stop the process once clients have taken their answers, or at `answers_until`; all other work
+    /// of a planned stop is done.
+    Stop {
+        /// Time until which answers may still be written.
+        answers_until: Timestamp,
+    },
     /// Write a decision to the log.
     LogDecision(Box<Decision>),
 }
--- a/crates/snipespan_core/src/gateway/systems/process.rs
+++ b/crates/snipespan_core/src/gateway/systems/process.rs
@@ -24,6 +24,10 @@
 /// get an answer.
 const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time after the open requests are failed for clients to take the answers, before the limit of the
+/// stop.
+const FINAL_WRITES_TIME: Duration = Duration::from_millis(300);
+
 /// Drives the lifecycle of the process; returns when it must run again.
 pub fn run(
     world: &mut World,
@@ -84,7 +88,7 @@
         ending::end_with_code(world, now, key, ResultCode::Leaving, effects);
     }
     world.process.handle(&ProcessEvent::Idle);
-    effects.push(Effect::Stop);
+    effects.push(Effect::Stop { answers_until: fail_at.after(FINAL_WRITES_TIME) });
     None
 }
 
--- a/crates/snipespan_core/tests/gateway/process.rs
+++ b/crates/snipespan_core/tests/gateway/process.rs
@@ -20,7 +20,7 @@
 }
 
 fn is_stopped(kit: &Kit) -> bool {
-    kit.effects.iter().any(|effect| matches!(effect, Effect::Stop))
+    kit.effects.iter().any(|effect| matches!(effect, Effect::Stop { .. }))
 }
 
 #[test]
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -44,9 +44,6 @@
 use crate::process::Addresses;
 use crate::process::wait_for_stop;
 
-/// Maximum time at the end of a planned stop for answers that are still being written.
-const FINAL_WRITES_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Limits on clients' requests until a serving configuration sets them.
 const INITIAL_LIMITS: ClientLimits = ClientLimits {
     header_bytes: 16 << 10,
@@ -151,10 +148,12 @@
         ready: ready_at.to_string(),
         peers: peers.to_string(),
     });
-    // The shell sends this once no request is in progress.
-    let _ = stopped_rx.await;
+    // The shell sends this once no request is in progress. Answers that were handed to the HTTP
+    // library are in progress until their clients have taken them.
+    let answers_until = stopped_rx.await.unwrap_or_default();
     cx.tasks.close();
-    let is_done = tokio::time::timeout(FINAL_WRITES_TIMEOUT, cx.tasks.wait()).await.is_ok();
+    let remaining = answers_until.since(clock.now());
+    let is_done = tokio::time::timeout(remaining, cx.tasks.wait()).await.is_ok();
     log::info!(vm = settings.vm.0.as_str(), is_done; "gateway stopped");
     log::logger().flush();
     Ok(())
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -84,7 +84,8 @@
     pub(super) disconnected: Vec<Event>,
     pub(super) link: PeerSender,
     pub(super) cx: Arc<GatewayContext>,
-    pub(super) stopped_tx: Option<oneshot::Sender<()>>,
+    /// Takes the time until which answers may still be written, once the rest of a stop is done.
+    pub(super) stopped_tx: Option<oneshot::Sender<Timestamp>>,
     pub(super) runtime: Handle,
     /// Time at which the metrics are updated next.
     pub(super) metrics_due: Timestamp,
@@ -162,10 +163,10 @@
             Effect::StopAccepting => {
                 self.connection_policy_tx.send_replace(ConnectionPolicy::StopAccepting);
             }
-            Effect::Stop => {
+            Effect::Stop { answers_until } => {
                 if let Some(stopped_tx) = self.stopped_tx.take() {
                     // Sending fails only if the process is already shutting down.
-                    let _ = stopped_tx.send(());
+                    let _ = stopped_tx.send(answers_until);
                 }
             }
             Effect::LogDecision(decision) => decisions::log_decision(&decision, &self.cx.metrics),
--- a/crates/snipespand/tests/gateway/draining.rs
+++ b/crates/snipespand/tests/gateway/draining.rs
@@ -9,14 +9,29 @@
 use snipespan_platform_adapter::connection::Connection;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::harness::API_KEY;
+use crate::harness::ENGINE;
 use crate::harness::HOST;
+use crate::harness::PLAIN;
 use crate::harness::TestPlatform;
 use crate::harness::WAIT_TIMEOUT;
 use crate::harness::read_answer;
 use crate::harness::request;
+use crate::scripted::Script;
+use crate::scripted::ScriptedServer;
+
+/// Bytes of a long answer; more than the kernel buffers for a connection, and less than the maximum
+/// of 16 MiB.
+const ANSWER_BYTES: usize = 14 << 20;
+
+/// Bytes of the data of one event of a long answer.
+const EVENT_BYTES: usize = 64 << 10;
+
+/// Bytes that a slow client reads in a second: 14 MiB take six seconds.
+const CLIENT_BYTES_PER_S: f64 = 2.4e6;
 
 /// Guards against a planned stop that cuts off an answer in progress, or refuses the requests that
 /// the load balancer still sends because it has not yet seen that the gateway is not ready.
@@ -87,6 +102,76 @@
     assert!(took < Duration::from_secs(8), "the stop takes less than its limit of 8 s: {took:?}");
 }
 
+/// Guards against a planned stop that ends while clients are still reading answers, because the
+/// gateway has handed them to the HTTP library.
+#[rstest]
+#[case::whole_answer("/order/1", PLAIN, "")]
+#[case::stream("/stream/1", ENGINE, "content-type: text/event-stream\r\n")]
+#[tokio::test]
+async fn planned_stop_waits_until_a_slow_client_has_its_answer(
+    #[case] path: &str,
+    #[case] service: &str,
+    #[case] field: &str,
+) {
+    let platform = TestPlatform::start(0).await;
+    let data = "x".repeat(EVENT_BYTES);
+    let events = 1..=ANSWER_BYTES / EVENT_BYTES;
+    let text: String = events.map(|id| format!("id: {id}\ndata: {data}\n\n")).collect();
+    let head = format!("HTTP/1.1 200 OK\r\nserver-stamp: s\r\n{field}content-length: ");
+    let script = Script::Close(format!("{head}{}\r\n\r\n{text}", text.len()));
+    let server = ScriptedServer::start(vec![script]).await;
+    platform.store.put("servers", "scripted", &server.listing(service));
+    let mut gateway = platform.gateway("gateway-1").await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(64 << 10).expect("a small buffer");
+    let mut stream = socket.connect(gateway.clients).await.expect("it connects");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: request-1\r\ndeadline-ms: 15000\r\n\
+         authorization: Token {API_KEY}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("it is written");
+    let mut buf = vec![0; 128 << 10];
+    let mut read = stream.read(&mut buf).await.expect("the start of an answer");
+    gateway.signal(Signal::SIGTERM);
+    let began = Instant::now();
+    loop {
+        tokio::time::sleep(
+            Duration::from_secs_f64(read as f64 / CLIENT_BYTES_PER_S)
+                .saturating_sub(began.elapsed()),
+        )
+        .await;
+        match stream.read(&mut buf).await.expect("the rest of the answer") {
+            0 => break,
+            bytes => read += bytes,
+        }
+    }
+    assert!(read >= ANSWER_BYTES, "the client has {read} bytes of more than {ANSWER_BYTES}");
+    assert!(gateway.wait_for_exit().await.success());
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(8), "the stop takes less than its limit of 8 s: {took:?}");
+}
+
+/// Guards against a planned stop that waits for a client that takes nothing for longer than its
+/// limit of 8 s.
+#[tokio::test]
+async fn planned_stop_does_not_wait_for_a_client_that_takes_nothing() {
+    let platform = TestPlatform::start(0).await;
+    let text = "x".repeat(ANSWER_BYTES);
+    let head = format!("HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: {ANSWER_BYTES}");
+    let server = ScriptedServer::start(vec![Script::Close(format!("{head}\r\n\r\n{text}"))]).await;
+    platform.store.put("servers", "scripted", &server.listing(PLAIN));
+    let mut gateway = platform.gateway("gateway-1").await;
+    let mut connection =
+        Connection::open(gateway.clients, WAIT_TIMEOUT).await.expect("it connects");
+    let req = request(Method::POST, "/order/1", "request-1", &[]);
+    let _unread = connection.send(req).await.expect("a head");
+    let began = Instant::now();
+    gateway.signal(Signal::SIGTERM);
+    assert!(gateway.wait_for_exit().await.success());
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(8), "the stop takes less than its limit of 8 s: {took:?}");
+}
+
 /// Guards against a planned stop that is still accepting requests when its limit ends, if that is
 /// shorter than the load balancer needs to notice it.
 #[tokio::test]
