--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -286,7 +286,8 @@
     pub sequence: u64,
     /// Version of the serving configuration in force at the sender.
     pub version: u64,
-    /// The sender's copy of the listings, if it follows the store's feeds for its peers.
+    /// The sender's copy of the listings, if it follows the store's feeds for its peers, or if there
+    /// are too few gateways for that.
     pub feed: Option<FeedReport>,
     /// Content of the message.
     pub update: PeerUpdate,
--- a/crates/snipespan_core/src/gateway/tables/peers.rs
+++ b/crates/snipespan_core/src/gateway/tables/peers.rs
@@ -36,7 +36,7 @@
     /// Version of the serving configuration in force at the peer.
     pub version: ServingVersion,
     /// Its last report on its copy of the listings, and when it arrived; `None` if the peer does
-    /// not follow the store's feeds for others.
+    /// not follow the store's feeds for others, unless there are too few gateways for that.
     pub feed: Option<(FeedReport, Timestamp)>,
     /// Whether the list of gateways that was read last contains it.
     pub is_listed: bool,
--- a/crates/snipespan_settings/src/ini_file.rs
+++ b/crates/snipespan_settings/src/ini_file.rs
@@ -11,6 +11,7 @@
 use crate::error::SettingsError;
 use crate::error::SettingsErrors;
 use crate::units::DURATION_ALLOWED;
+use crate::units::DURATION_OR_ZERO_ALLOWED;
 use crate::units::SIZE_ALLOWED;
 use crate::units::parse_duration;
 use crate::units::parse_size;
@@ -109,7 +110,7 @@
         key: &'static str,
         default: Duration,
     ) -> Duration {
-        self.optional(section, key, DURATION_ALLOWED, parse_duration).unwrap_or(default)
+        self.optional(section, key, DURATION_OR_ZERO_ALLOWED, parse_duration).unwrap_or(default)
     }
 
     /// Reads a size of at least one byte; returns `default` if the key is absent or not allowed.
--- a/crates/snipespan_settings/src/units.rs
+++ b/crates/snipespan_settings/src/units.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-/// Allowed format of a duration, for error messages.
+/// Allowed format of a duration above 0, for error messages.
 pub const DURATION_ALLOWED: &str =
+    "a number above 0 with a unit: us, ms, s, m, h (such as 250ms or 1.5s)";
+
+/// Allowed format of a duration that may be 0, for error messages.
+pub const DURATION_OR_ZERO_ALLOWED: &str =
     "a number of at least 0 with a unit: us, ms, s, m, h (such as 250ms or 1.5s)";
 
 /// Allowed format of a size, for error messages.
