--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -223,17 +223,17 @@
     }
 
     /// Returns how long a call sent at `now` waits for a change: not at all after an outage, and if
-    /// the store has not just answered, so that an outage or its end shows at once.
+    /// a long wait would begin though the store has not just answered, so that an outage or its end
+    /// shows at once.
     fn current_wait(&self, now: Timestamp) -> Duration {
-        let is_confirmed = match self.table {
-            Table::Operator | Table::Listings => now.since(self.answered) < CONFIRMED_FOR,
-            // There is no time limit for the gateways' listings.
-            Table::Gateways => true,
-        };
-        match self.mode() {
-            _ if !is_confirmed || self.is_reachable != Some(true) => Duration::ZERO,
-            FeedMode::ForPeers => self.feed_wait.min(FOLLOWER_WAIT),
-            FeedMode::Alone | FeedMode::Relayed => self.feed_wait,
+        if self.is_reachable != Some(true) {
+            return Duration::ZERO;
+        }
+        let is_confirmed = now.since(self.answered) < CONFIRMED_FOR;
+        match (self.table, self.mode()) {
+            (_, FeedMode::ForPeers) => self.feed_wait.min(FOLLOWER_WAIT),
+            (Table::Operator | Table::Listings, _) if !is_confirmed => Duration::ZERO,
+            (_, FeedMode::Alone | FeedMode::Relayed) => self.feed_wait,
         }
     }
 
--- a/crates/snipespand/tests/gateway/relaying.rs
+++ b/crates/snipespand/tests/gateway/relaying.rs
@@ -1,16 +1,21 @@
 //! Tests of gateways that follow the store's feeds for each other.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use hyper::Method;
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
+use snipespan_fakes::users_platform::store::StoreFault;
 
 use crate::harness::Gateway;
 use crate::harness::TestPlatform;
+use crate::harness::configuration;
+use crate::harness::configuration_with_other_key;
 use crate::harness::wait_until;
+use crate::harness::wait_until_denied;
 
 /// Number of gateways; with nine or more, four of them follow the feeds.
 const GATEWAYS: usize = 10;
@@ -52,6 +57,24 @@
     platform.plain[0].runs().len() - before
 }
 
+/// Guards against a withdrawn key that gateways accept for seconds after a short silence of the store,
+/// in which the followers' calls are lost.
+#[tokio::test]
+async fn silent_store_delays_no_relayed_configuration() {
+    let platform = TestPlatform::start(2).await;
+    let gateways = start_gateways(&platform).await;
+    platform.store.put("op", "config", &configuration(2));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    platform.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.store.set_fault(StoreFault::None);
+    let returned = Instant::now();
+    platform.store.put("op", "config", &configuration_with_other_key(3));
+    futures_util::future::join_all(gateways.iter().map(wait_until_denied)).await;
+    let took = returned.elapsed();
+    assert!(took < Duration::from_secs(3), "in force {took:?} after the store's return");
+}
+
 /// Guards against a relayed change that a gateway does not apply.
 #[tokio::test]
 async fn draining_is_relayed_to_all_gateways() {
