--- a/crates/snipespand/tests/gateway/draining.rs
+++ b/crates/snipespand/tests/gateway/draining.rs
@@ -135,11 +135,8 @@
     gateway.signal(Signal::SIGTERM);
     let began = Instant::now();
     loop {
-        tokio::time::sleep(
-            Duration::from_secs_f64(read as f64 / CLIENT_BYTES_PER_S)
-                .saturating_sub(began.elapsed()),
-        )
-        .await;
+        let due = Duration::from_secs_f64(read as f64 / CLIENT_BYTES_PER_S);
+        tokio::time::sleep(due.saturating_sub(began.elapsed())).await;
         match stream.read(&mut buf).await.expect("the rest of the answer") {
             0 => break,
             bytes => read += bytes,
