Spans: the name of a reservation is unique over gateways

Cause: the name was made of the gateway's start time in microseconds and the key of the request.

Change: the name begins with a hash of the gateway's name.

--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -18,6 +18,7 @@
 use crate::gateway::event::ReservationAnswer;
 use crate::gateway::systems::availability;
 use crate::gateway::systems::ending;
+use crate::gateway::systems::feeds;
 use crate::gateway::systems::placing;
 use crate::gateway::systems::placing::SendPlan;
 use crate::gateway::systems::prediction;
@@ -101,10 +102,13 @@
     }
 }
 
-/// Returns the name of the reservations of a request's span, the same at all engines.
+/// Returns the name of the reservations of a request's span, the same at all engines and at no other
+/// span of any gateway. Gateways that start at the same microsecond have equal incarnations and, soon
+/// after, equal request keys.
 fn ticket(world: &World, key: RequestKey, row: &Request) -> CompactString {
+    let gateway = feeds::rank_of(&world.settings.node);
     let request = key.data().as_ffi();
-    format_compact!("{:x}-{request:x}-{}", world.incarnation, row.span_count)
+    format_compact!("{gateway:x}-{:x}-{request:x}-{}", world.incarnation, row.span_count)
 }
 
 fn request_reservation(
--- a/crates/snipespan_core/tests/gateway/spans.rs
+++ b/crates/snipespan_core/tests/gateway/spans.rs
@@ -51,6 +51,20 @@
     reservations
 }
 
+/// Guards against two requests that use the same reserved memory: all processes of a deployment may
+/// start at the same microsecond.
+#[test]
+fn ticket_of_gateways_with_equal_incarnations_differs() {
+    let mut kits = [Kit::new(6), Kit::new(6)];
+    kits[1].world.settings.node = "gateway-2".into();
+    let tickets = kits.each_mut().map(|kit| {
+        kit.arrive("/draft/1", LONG_PROMPT_TOKENS);
+        reserved(kit)[0].2.ticket.clone()
+    });
+    assert_eq!(kits[0].world.incarnation, kits[1].world.incarnation);
+    assert_ne!(tickets[0], tickets[1]);
+}
+
 #[test]
 fn prompt_over_one_memory_reserves_at_several_engines() {
     let mut kit = Kit::new(6);
