Evacuation: tests with processes, and reliance on peers after a change

Cause: a gateway that learned of an evacuation from a feed call that was still open called the feed again at once, as no follower had confirmed the set yet.

Change: the set counts as current for 1.5 s after a change as well. Tests with processes: a removal whose history was dropped (410), gateways that do not call the feed, a start while the store is down, and the refusal when no data centre is left.

--- a/crates/snipespan_core/src/gateway/systems/evacuations.rs
+++ b/crates/snipespan_core/src/gateway/systems/evacuations.rs
@@ -32,7 +32,7 @@
 /// reaches gateways that were frozen or cut off for some seconds.
 const REPEAT_AFTER_CHANGE: Duration = Duration::from_secs(10);
 
-/// Maximum time since a peer reported the same evacuations for which a gateway that does not call
+/// Maximum time since the last change, or since a peer reported the same evacuations, for which a gateway that does not call
 /// the feed relies on them; several repetitions must be lost before it calls the feed itself.
 const MAX_UNCONFIRMED: Duration = Duration::from_millis(1500);
 
@@ -263,6 +263,6 @@
 /// repeated.
 pub fn relayed_until(world: &World) -> Option<Timestamp> {
     let evacuations = &world.evacuations;
-    let confirmed = evacuations.confirmed.unwrap_or_default();
-    (!evacuations.rows.is_empty()).then(|| confirmed.after(MAX_UNCONFIRMED))
+    let known = evacuations.confirmed.max(evacuations.changed).unwrap_or_default();
+    (!evacuations.rows.is_empty()).then(|| known.after(MAX_UNCONFIRMED))
 }
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashing_part;
 mod draining;
 mod endless;
+mod evacuation;
 mod faults;
 mod harness;
 mod observing;
