Tests of a fleet before a cold backend server; shares of a new kind wait until the view has settled

Cause: the fleet of 31 gateways that are all cut off from each other at once sent 53 requests in one second, above the bound of 47: the even shares began in the second in which the owners' were used.

Change: a gateway uses a share of another kind than before only 1.5 s after the set of gateways that it hears last changed. Pauses are watched for while a backend server is held to a rate.

--- a/crates/snipespan_core/src/gateway/systems/pauses.rs
+++ b/crates/snipespan_core/src/gateway/systems/pauses.rs
@@ -15,7 +15,7 @@
 /// of milliseconds for a busy processor.
 const MAX_TICK_DELAY: Duration = Duration::from_millis(200);
 
-/// Maximum time between ticks while requests are open, so that a pause that is half as long as the
+/// Maximum time between ticks while requests are open or backend servers are held to a rate, so that a pause that is half as long as the
 /// shortest limit of silence is noticed.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,13 +38,15 @@
     }
 }
 
-/// Records when the next tick is due, and returns it: `wake_at`, or sooner while requests are open.
+/// Records when the next tick is due, and returns it: `wake_at`, or sooner while requests are open
+/// or backend servers are held to a rate.
 pub fn plan_wake(
     world: &mut World,
     now: Timestamp,
     wake_at: Option<Timestamp>,
 ) -> Option<Timestamp> {
-    let watch_at = (!world.requests.is_empty()).then(|| now.after(WATCH_INTERVAL));
+    let is_watched = !world.requests.is_empty() || world.shared_rates.has_cold_servers();
+    let watch_at = is_watched.then(|| now.after(WATCH_INTERVAL));
     world.wake_planned = [wake_at, watch_at].into_iter().flatten().min();
     world.wake_planned
 }
--- a/crates/snipespan_core/src/gateway/systems/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/systems/shared_rates.rs
@@ -6,6 +6,7 @@
 //! rendezvous hashing for each backend server, have all of its rate; the others wait until it is
 //! warm. See docs/design/shared-rates.md.
 
+use std::mem::discriminant;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -40,9 +41,9 @@
 /// the owner of the same rank.
 const PARTIAL_VIEW_SHARE: f64 = 0.5;
 
-/// Time for which the set of gateways that are heard must not change before one of them becomes an
-/// owner that was none. Each gateway sends to all others once a second, so that an owner that it
-/// replaces knows by then.
+/// Time for which the set of gateways that are heard must not change before a gateway uses a share
+/// of another kind than before. Each gateway sends to all others once a second, so that those whose
+/// share it takes over know by then, and what they used has left the window in part.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 
 /// Rate of a cold backend server and the bound on it, per second, over all gateways.
@@ -64,7 +65,7 @@
 }
 
 /// Apportions the rates of all backend servers that are cold; returns when the next one is warm, or
-/// when this gateway becomes an owner.
+/// when this gateway may use a new share.
 pub fn run(world: &mut World, now: Timestamp, effects: &mut Vec<Effect>) -> Option<Timestamp> {
     update_view(world, now);
     if world.last_pause == Some(now) {
@@ -136,7 +137,7 @@
 }
 
 /// Updates this gateway's share of the rate of a cold backend server; returns when it is warm, or
-/// when this gateway becomes its owner.
+/// when this gateway may use a new share.
 fn apportion(
     world: &mut World,
     now: Timestamp,
@@ -160,10 +161,10 @@
     let rank = rank_in_view(world, now, instance_hash, own_rank);
     let row = world.shared_rates.rows.get_mut(rate)?;
     let mut share = cold_share(&view, limit, rank, rendezvous(own_rank, instance_hash));
-    let was_owner = matches!(row.apportionment, Apportionment::Owner { .. });
-    let is_owner = matches!(share.apportionment, Apportionment::Owner { .. });
-    let owner_from = view.changed.after(SETTLE_TIME);
-    let is_settling = is_owner && !was_owner && now < owner_from;
+    let is_new_kind = discriminant(&share.apportionment) != discriminant(&row.apportionment);
+    let settled_at = view.changed.after(SETTLE_TIME);
+    let is_settling =
+        is_new_kind && share.apportionment != Apportionment::Nothing && now < settled_at;
     if is_settling {
         share.apportionment = Apportionment::Nothing;
     }
@@ -183,7 +184,7 @@
         };
         effects.push(Effect::LogDecision(Box::new(decision)));
     }
-    Some(if is_settling { owner_from.min(cold_until) } else { cold_until })
+    Some(if is_settling { settled_at.min(cold_until) } else { cold_until })
 }
 
 /// Returns a gateway's share of the rate of a cold backend server. `rank` is the number of gateways
--- a/crates/snipespan_core/src/gateway/tables/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/tables/shared_rates.rs
@@ -249,6 +249,11 @@
 }
 
 impl SharedRates {
+    /// Returns whether any cold backend server has a rate.
+    pub fn has_cold_servers(&self) -> bool {
+        self.rows.iter().any(|(_, row)| matches!(row.target, RateTarget::ColdServer(_)))
+    }
+
     /// Returns the rate of the retries of a service, which is added if there is none; `None` if the
     /// table is full.
     pub fn retries_mut(&mut self, service: &str, window: Duration) -> Option<&mut SharedRate> {
--- /dev/null
+++ b/crates/snipespan_core/tests/gateway/cold_servers.rs
@@ -0,0 +1,1 @@
+//! Tests of one gateway before cold backend servers.
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -110,27 +110,37 @@
 }
 
 pub(crate) fn serving(version: u64) -> ServingConfiguration {
-    serving_with(
-        version,
-        vec![
-            route("/draft/", RouteKind::Streaming { is_resumable: true }, 0),
-            Route {
-                latency_goal: Duration::from_secs(3),
-                gap_goal: Some(Duration::from_secs(1)),
-                ..route("/long/", RouteKind::Streaming { is_resumable: true }, 0)
-            },
-            route("/once/", RouteKind::Streaming { is_resumable: false }, 0),
-            route("/order/", RouteKind::Unsafe, 1),
-            route("/look/", RouteKind::Safe, 1),
-        ],
-    )
+    serving_with(version, routes())
+}
+
+fn routes() -> Vec<Route> {
+    vec![
+        route("/draft/", RouteKind::Streaming { is_resumable: true }, 0),
+        Route {
+            latency_goal: Duration::from_secs(3),
+            gap_goal: Some(Duration::from_secs(1)),
+            ..route("/long/", RouteKind::Streaming { is_resumable: true }, 0)
+        },
+        route("/once/", RouteKind::Streaming { is_resumable: false }, 0),
+        route("/order/", RouteKind::Unsafe, 1),
+        route("/look/", RouteKind::Safe, 1),
+    ]
 }
 
 /// Returns a serving configuration with these routes, the services [`ENGINE`] and [`PLAIN`] and one
 /// client account.
 pub(crate) fn serving_with(version: u64, routes: Vec<Route>) -> ServingConfiguration {
-    let engine = Service { name: ENGINE.into(), engine: Some(ENGINE_SPEC), cold_rate: None };
-    let plain = Service { name: PLAIN.into(), engine: None, cold_rate: None };
+    serving_of(version, routes, None)
+}
+
+/// Returns the configuration of [`serving`] with a rate for cold backend servers.
+pub(crate) fn serving_with_cold_rate(version: u64, cold_rate: f64) -> ServingConfiguration {
+    serving_of(version, routes(), Some(cold_rate))
+}
+
+fn serving_of(version: u64, routes: Vec<Route>, cold_rate: Option<f64>) -> ServingConfiguration {
+    let engine = Service { name: ENGINE.into(), engine: Some(ENGINE_SPEC), cold_rate };
+    let plain = Service { name: PLAIN.into(), engine: None, cold_rate };
     let account = Account { name: "account-1".into(), priority: None, home_regions: Vec::new() };
     let limits = ClientLimits {
         header_bytes: 16 << 10,
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod announcements;
 mod arrivals;
 mod attempts;
+mod cold_fleet;
+mod cold_servers;
 mod crashing_part;
 mod crest;
 mod deferral;
