Tests of one gateway before cold backend servers; owners by the rate

Cause: three owners use 0.30 of the rate of 28 per second at ordinary load and 0.77 at a peak, as each receives fewer requests than its part.

Change: there is an owner for each 4 requests per second of the rate, seven for 28.

--- a/crates/snipespan_core/src/gateway/systems/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/systems/shared_rates.rs
@@ -25,9 +25,10 @@
 use crate::keys::BackendServerKey;
 use crate::time::Timestamp;
 
-/// Number of gateways that own the rate of a cold backend server. With one, nothing of the rate is
-/// used while that one is gone; with many, each has less than the requests that it receives.
-const OWNERS: u32 = 3;
+/// Requests per second of each owner of the rate of a cold backend server; there are as many owners
+/// as that allows. A gateway of the deployments receives three requests per second, and ten at a
+/// peak: larger parts are not used up, and smaller ones are often used up when a request arrives.
+const OWNER_RATE: f64 = 4.0;
 
 /// Window of the rates of cold backend servers, which are stated per second.
 pub const COLD_WINDOW: Duration = Duration::from_secs(1);
@@ -198,7 +199,8 @@
     }
     if 2 * view.heard > view.known {
         let amount = if view.heard == view.known { whole } else { partial };
-        let owners = OWNERS.min(amount as u32).min(view.heard as u32).max(1);
+        // The conversion limits a value out of range to the bounds of the type.
+        let owners = ((limit.rate / OWNER_RATE) as u32).min(view.heard as u32).max(1);
         let apportionment = match u32::try_from(rank) {
             Ok(rank) if rank < owners => Apportionment::Owner { rank, owners },
             _ => Apportionment::Nothing,
--- a/crates/snipespan_core/tests/gateway/cold_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/cold_fleet.rs
@@ -108,7 +108,7 @@
         let sends = |gateway: &usize| self.gateways[*gateway].world.counters.cold_sends;
         let mut owners: Vec<_> = (0..self.gateways.len()).collect();
         owners.sort_by_key(|gateway| std::cmp::Reverse(sends(gateway)));
-        owners.truncate(3);
+        owners.truncate(7);
         owners
     }
 
@@ -149,7 +149,7 @@
         let mut events = std::mem::take(&mut self.pending[gateway]);
         let kit = &mut self.gateways[gateway];
         kit.now = Timestamp::ZERO.after(self.now.since(self.started[gateway]));
-        if (self.steps + gateway) % ARRIVAL_STEPS == 0 {
+        if (self.steps + gateway).is_multiple_of(ARRIVAL_STEPS) {
             events.push(Event::Arrival(Box::new(kit.arrival("/look/1", 0))));
         }
         kit.step(events);
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -20,5 +20,6 @@
 mod prompt_parts;
 mod retry_budgets;
 mod serving;
+mod shared_rates;
 mod spans;
 mod stalls;
