--- a/crates/snipespan_core/tests/gateway/shared_rates.rs
+++ b/crates/snipespan_core/tests/gateway/shared_rates.rs
@@ -159,3 +159,37 @@
         }
     }
 }
+
+/// Guards against shares that are more than the bound together: of the owners in two views at once,
+/// each without some gateways; of the owners and a minority that does not hear them; and of all
+/// gateways, none of which hears another.
+#[rstest]
+#[case::first_deployment(28.0, 47.0, 27)]
+#[case::second_deployment(28.0, 47.0, 31)]
+#[case::no_slack(28.0, 28.0, 27)]
+#[case::small_rate(2.5, 8.75, 3)]
+#[case::less_than_one(0.5, 5.75, 5)]
+#[case::large_rate(500.0, 755.0, 300)]
+fn cold_share_of_all_gateways_within_the_bound(
+    #[case] rate: f64,
+    #[case] bound: f64,
+    #[case] known: usize,
+) {
+    let limit = ColdLimit { rate, bound };
+    let uses_of = |heard: usize| -> u32 {
+        let view = GatewayView { heard, known, has_list: true, ..GatewayView::default() };
+        let uses = (0..heard).map(|rank| {
+            let share = shared_rates::cold_share(&view, limit, rank, 0);
+            let target = RateTarget::ColdServer(BackendServerKey::null());
+            let mut rate = SharedRate::new(target, share.amount, SECOND);
+            rate.apportionment = share.apportionment;
+            rate.allowance().uses
+        });
+        uses.sum()
+    };
+    let majority = known / 2 + 1;
+    assert!(f64::from(uses_of(known)) <= rate.max(1.0), "all hear each other");
+    assert!(f64::from(2 * uses_of(majority)) <= bound, "two views");
+    assert!(f64::from(uses_of(majority) + uses_of(known - majority)) <= bound, "a minority");
+    assert!(f64::from(uses_of(1) * known as u32) <= bound, "none hears another");
+}
