--- a/crates/snipespan_core/src/gateway/systems/availability.rs
+++ b/crates/snipespan_core/src/gateway/systems/availability.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 
+use crate::gateway::systems::shared_rates;
 use crate::gateway::tables::backend_servers::Availability;
 use crate::gateway::tables::backend_servers::BackendServer;
 use crate::gateway::tables::requests::Request;
@@ -36,6 +37,12 @@
         /// When the suspension ends.
         until: Timestamp,
     },
+    /// It is cold, and this gateway's share of its rate is used up.
+    #[display("cold")]
+    Cold {
+        /// When the share allows the next request, or when the backend server is warm.
+        until: Timestamp,
+    },
     /// It failed or refused this request before.
     #[display("avoided")]
     Avoided,
@@ -44,8 +51,8 @@
 /// Numbers of backend servers of a service by what keeps requests from them.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
 #[display(
-    "leaving {leaving}, evacuated {evacuated}, outside home regions {outside_home}, unwanted {unwanted}, suspended {suspended}, avoided \
-     {avoided}"
+    "leaving {leaving}, evacuated {evacuated}, outside home regions {outside_home}, unwanted \
+     {unwanted}, cold {cold}, suspended {suspended}, avoided {avoided}"
 )]
 pub struct ObstacleCounts {
     /// Leaving or gone.
@@ -56,6 +63,8 @@
     pub outside_home: usize,
     /// They want no requests from this gateway.
     pub unwanted: usize,
+    /// Cold, and this gateway's share of their rate is used up.
+    pub cold: usize,
     /// Suspended after failures.
     pub suspended: usize,
     /// They failed or refused the request before.
@@ -66,7 +75,9 @@
     /// Returns the earliest time at which the obstacle ends; `None` if that is not known.
     pub const fn until(self) -> Option<Timestamp> {
         match self {
-            Self::Unwanted { until } | Self::Suspended { until } => Some(until),
+            Self::Unwanted { until } | Self::Suspended { until } | Self::Cold { until } => {
+                Some(until)
+            }
             Self::Leaving | Self::Evacuated | Self::OutsideHome | Self::Avoided => None,
         }
     }
@@ -110,6 +121,20 @@
     now: Timestamp,
     row: &BackendServer,
     request: &Request,
+) -> Option<SendObstacle> {
+    if let Some(obstacle) = standing_obstacle(world, now, row, request) {
+        return Some(obstacle);
+    }
+    let until = shared_rates::next_use(world, now, row)?;
+    Some(SendObstacle::Cold { until })
+}
+
+/// Returns why a backend server does not take a request at `now`, however few it gets.
+fn standing_obstacle(
+    world: &World,
+    now: Timestamp,
+    row: &BackendServer,
+    request: &Request,
 ) -> Option<SendObstacle> {
     let is_listed = matches!(row.availability, Availability::Ready | Availability::Lapsed { .. });
     if !is_listed || row.announced.is_leaving {
@@ -143,7 +168,8 @@
     row.is_some_and(|row| data_centre_obstacle(world, row, request).is_some())
 }
 
-/// Returns whether a backend server that was chosen earlier for a request still takes it.
+/// Returns whether a backend server that was chosen earlier for a request still takes it. What it
+/// gets while it is cold was counted when it was chosen.
 pub fn still_takes(
     world: &World,
     now: Timestamp,
@@ -151,7 +177,7 @@
     request: &Request,
 ) -> bool {
     let row = world.backend_servers.rows.get(server);
-    row.is_some_and(|row| lasting_obstacle(world, now, row, request).is_none())
+    row.is_some_and(|row| standing_obstacle(world, now, row, request).is_none())
 }
 
 /// Returns the backend servers of a request's service that it may be sent to at `now`; suspended
@@ -209,6 +235,7 @@
             Some(SendObstacle::Evacuated) => &mut counts.evacuated,
             Some(SendObstacle::OutsideHome) => &mut counts.outside_home,
             Some(SendObstacle::Unwanted { .. }) => &mut counts.unwanted,
+            Some(SendObstacle::Cold { .. }) => &mut counts.cold,
             Some(SendObstacle::Suspended { .. }) => &mut counts.suspended,
             Some(SendObstacle::Avoided) => &mut counts.avoided,
         };
@@ -216,3 +243,19 @@
     }
     counts
 }
+
+/// Returns when the first cold backend server of a request's service may get a request from this
+/// gateway, if such ones are all that is left for it; `None` if one takes requests now, or none is
+/// cold.
+pub fn cold_until(world: &World, now: Timestamp, request: &Request) -> Option<Timestamp> {
+    let mut first: Option<Timestamp> = None;
+    for (_, row) in world.backend_servers.rows.iter() {
+        if row.listing.service != request.service {
+            continue;
+        }
+        if let SendObstacle::Cold { until } = lasting_obstacle(world, now, row, request)? {
+            first = Some(until.or_sooner(first));
+        }
+    }
+    first
+}
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod announcements;
 mod arrivals;
 mod attempts;
+mod cold_fleet;
+mod cold_servers;
 mod crashing_part;
 mod crest;
 mod deferral;
@@ -20,5 +22,6 @@
 mod prompt_parts;
 mod retry_budgets;
 mod serving;
+mod shared_rates;
 mod spans;
 mod stalls;
--- a/crates/snipespand/src/gateway/metrics.rs
+++ b/crates/snipespand/src/gateway/metrics.rs
@@ -77,6 +77,9 @@
             prompt_parts_blocked,
             refused_evacuated,
             refused_outside_home,
+            cold_sends,
+            cold_waits,
+            cold_refusals,
         } = world.counters;
         let counts = [
             ("requests_arrived", arrivals),
@@ -92,6 +95,9 @@
             ("prompt_parts_blocked", prompt_parts_blocked),
             ("refused_evacuated", refused_evacuated),
             ("refused_outside_home", refused_outside_home),
+            ("cold_sends", cold_sends),
+            ("cold_waits", cold_waits),
+            ("cold_refusals", cold_refusals),
         ];
         for (kind, value) in counts {
             let counter = self.events.with_label_values(&[kind]);
@@ -102,6 +108,7 @@
             ("work_in_view", world.work.len()),
             ("backend_servers", world.backend_servers.rows.len()),
             ("peers", world.peers.len()),
+            ("shared_rates", world.shared_rates.rows.len()),
             ("prompt_parts_suspected", world.suspects.rows.len()),
             ("data_centres_evacuated", world.evacuations.rows.len()),
         ];
