--- a/crates/snipespan_core/src/gateway/systems/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/systems/shared_rates.rs
@@ -19,6 +19,7 @@
 use crate::gateway::tables::peers::GatewayView;
 use crate::gateway::tables::peers::Peer;
 use crate::gateway::tables::shared_rates::Apportionment;
+use crate::gateway::tables::shared_rates::DrawnRank;
 use crate::gateway::tables::shared_rates::RateTarget;
 use crate::gateway::tables::shared_rates::SharedRate;
 use crate::gateway::world::World;
@@ -159,8 +160,11 @@
     let ColdRate::Limited(rate) = rate else { return Some(cold_until) };
     let view = world.gateway_view;
     let own_rank = feeds::rank_of(&world.settings.node);
-    let rank = rank_in_view(world, now, instance_hash, own_rank);
+    let drawn = world.shared_rates.rows.get(rate)?.drawn;
+    let rank = rank_in_view(world, now, instance_hash, own_rank, drawn);
     let row = world.shared_rates.rows.get_mut(rate)?;
+    let fingerprint = view.fingerprint;
+    row.drawn = Some(DrawnRank { fingerprint, instance_hash, rank });
     let mut share = cold_share(&view, limit, rank, rendezvous(own_rank, instance_hash));
     let is_new_kind = discriminant(&share.apportionment) != discriminant(&row.apportionment);
     let settled_at = view.changed.after(SETTLE_TIME);
@@ -223,8 +227,23 @@
     ColdShare { amount: partial, apportionment }
 }
 
-/// Returns the number of gateways heard that are drawn before this one for a backend server.
-fn rank_in_view(world: &World, now: Timestamp, instance_hash: u64, own_rank: u64) -> usize {
+/// Returns the number of gateways heard that are drawn before this one for a backend server. With
+/// hundreds of gateways and of cold backend servers this is too much work for each tick, so the
+/// rank that was `drawn` before is used while the gateways heard are the same.
+fn rank_in_view(
+    world: &World,
+    now: Timestamp,
+    instance_hash: u64,
+    own_rank: u64,
+    drawn: Option<DrawnRank>,
+) -> usize {
+    let fingerprint = world.gateway_view.fingerprint;
+    let is_current = |drawn: &DrawnRank| {
+        (drawn.fingerprint, drawn.instance_hash) == (fingerprint, instance_hash)
+    };
+    if let Some(drawn) = drawn.filter(is_current) {
+        return drawn.rank;
+    }
     let own = rendezvous(own_rank, instance_hash);
     let heard = world.peers.iter().filter(|(_, peer)| is_heard(peer, now));
     heard.filter(|(_, peer)| rendezvous(peer.rank, instance_hash) < own).count()
--- a/crates/snipespan_core/src/gateway/tables/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/tables/shared_rates.rs
@@ -64,6 +64,17 @@
     },
 }
 
+/// Rank of this gateway among those that it hears, and what it was drawn for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrawnRank {
+    /// Hash over the set of gateways heard.
+    pub fingerprint: u64,
+    /// The instance of the backend server.
+    pub instance_hash: u64,
+    /// Number of gateways heard that were drawn before this one.
+    pub rank: usize,
+}
+
 /// Uses and what they are measured against, within a part of a window.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -97,6 +108,8 @@
     pub blocked_until: Timestamp,
     /// When this gateway gets a share, if it has none and that is known.
     pub share_due: Option<Timestamp>,
+    /// The last rank that was drawn for it.
+    pub drawn: Option<DrawnRank>,
     /// What this gateway used, oldest first.
     buckets: VecDeque<Bucket>,
 }
@@ -115,6 +128,7 @@
             apportionment: Apportionment::Nothing,
             blocked_until: Timestamp::ZERO,
             share_due: None,
+            drawn: None,
             buckets: VecDeque::new(),
         }
     }
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -160,6 +160,8 @@
 #[case::ratio("retry_ratio = 0.2", "retry_ratio = -0.2", "[gateway] retry_ratio")]
 #[case::ratio_not_finite("retry_ratio = 0.2", "retry_ratio = inf", "[gateway] retry_ratio")]
 #[case::slack("retry_ratio = 0.2", "retry_slack = -1", "[gateway] retry_slack")]
+#[case::cold_excess("retry_ratio = 0.2", "cold_excess = -1", "[gateway] cold_excess")]
+#[case::cold_slack("retry_ratio = 0.2", "cold_slack = many", "[gateway] cold_slack")]
 #[case::feed_wait("retry_ratio = 0.2", "feed_wait = 0s", "[gateway] feed_wait")]
 #[case::stop_limit("retry_ratio = 0.2", "stop_limit = -1s", "[gateway] stop_limit")]
 #[case::seed("seeds = 10.0.0.1:8229,", "seeds = nowhere,", "[gateway] seeds")]
