--- a/crates/snipespan_core/src/gateway/tables/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/tables/shared_rates.rs
@@ -64,6 +64,17 @@
     },
 }
 
+/// Rank of this gateway among those that it hears, and what it was drawn for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrawnRank {
+    /// Hash over the set of gateways heard.
+    pub fingerprint: u64,
+    /// The instance of the backend server.
+    pub instance_hash: u64,
+    /// Number of gateways heard that were drawn before this one.
+    pub rank: usize,
+}
+
 /// Uses and what they are measured against, within a part of a window.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -95,6 +106,10 @@
     /// Time before which this gateway uses nothing: what it used until then is not known, or may
     /// have been apportioned to another one.
     pub blocked_until: Timestamp,
+    /// When this gateway gets a share, if it has none and that is known.
+    pub share_due: Option<Timestamp>,
+    /// The last rank that was drawn for it.
+    pub drawn: Option<DrawnRank>,
     /// What this gateway used, oldest first.
     buckets: VecDeque<Bucket>,
 }
@@ -112,6 +127,8 @@
             window,
             apportionment: Apportionment::Nothing,
             blocked_until: Timestamp::ZERO,
+            share_due: None,
+            drawn: None,
             buckets: VecDeque::new(),
         }
     }
@@ -152,7 +169,7 @@
     pub fn next_use(&self, now: Timestamp) -> Option<Timestamp> {
         let allowance = self.allowance();
         if allowance.uses == 0 {
-            return Some(Timestamp::MAX);
+            return Some(self.share_due.unwrap_or(Timestamp::MAX).max(self.blocked_until));
         }
         let mut used: u32 = self.counted_buckets(now, allowance).map(|bucket| bucket.uses).sum();
         let mut next = self.blocked_until;
