Entries evacuate data centres by a change of the configuration

Cause: operators could drain one backend server at a time; a data centre that has to be empty needed a change for each of its VMs, and a VM listed later got work.

Change: the configuration chain holds the evacuated data centres (changes Evacuate and Restore, so revisions, base revision and change ids hold for them). An entry decides in entry/systems/availability.rs alone whether a request may be sent to a backend server: placements, retries, resumed streams and durable records ask there. Requests with nothing left are refused at once with no_backend_server. The list of data centres is a new call, and an unknown name is refused with the known ones.

Harness: VMs can be listed in another data centre.

--- a/crates/snipespan/src/args.rs
+++ b/crates/snipespan/src/args.rs
@@ -31,6 +31,7 @@
         .subcommand(model_command())
         .subcommand(service_command())
         .subcommand(backend_server_command())
+        .subcommand(data_centre_command())
         .subcommand(Command::new("configuration").about("Show the configuration in force"))
         .subcommand(change_command())
         .subcommand(report_command())
@@ -220,6 +221,22 @@
         .subcommands([list, drain, undrain])
 }
 
+fn data_centre_command() -> Command {
+    let list = Command::new("list").about("List the data centres as known to the entry");
+    let evacuate = Command::new("evacuate")
+        .about("Stop sending new work to all backend servers of a data centre")
+        .arg(name_arg("Name of the data centre, as in `data-centre list`"))
+        .args(change_args());
+    let restore = Command::new("restore")
+        .about("Resume sending new work to an evacuated data centre")
+        .arg(name_arg("Name of the data centre"))
+        .args(change_args());
+    Command::new("data-centre")
+        .about("List, evacuate and restore data centres")
+        .subcommand_required(true)
+        .subcommands([list, evacuate, restore])
+}
+
 fn change_command() -> Command {
     let id = Arg::new("id").required(true).value_name("ID").help("Id of the change");
     let show = Command::new("show").about("Show whether a change took effect").arg(id);
--- a/crates/snipespan/src/commands.rs
+++ b/crates/snipespan/src/commands.rs
@@ -5,6 +5,7 @@
 pub mod change;
 pub mod completions;
 pub mod configuration;
+pub mod data_centre;
 pub mod load;
 pub mod model;
 pub mod report;
@@ -57,6 +58,7 @@
         Some(("backend-server", matches)) => {
             backend_server::run(&mut connection, matches, format).await
         }
+        Some(("data-centre", matches)) => data_centre::run(&mut connection, matches, format).await,
         Some(("configuration", _)) => configuration::run(&mut connection, format).await,
         Some(("change", matches)) => change::run(&mut connection, matches, format).await,
         Some(("report", matches)) => report::run(&mut connection, matches, format).await,
--- a/crates/snipespan/src/commands/configuration.rs
+++ b/crates/snipespan/src/commands/configuration.rs
@@ -25,6 +25,7 @@
         models.len().to_string(),
         services.len().to_string(),
         configuration.drained.join(" "),
+        configuration.evacuated.join(" "),
     ];
     let value = json!({
         "revision": configuration.revision,
@@ -32,8 +33,9 @@
         "models": models,
         "services": services,
         "drained": configuration.drained,
+        "evacuated": configuration.evacuated,
     });
-    let titles = ["REVISION", "ACCOUNTS", "MODELS", "SERVICES", "DRAINED"];
+    let titles = ["REVISION", "ACCOUNTS", "MODELS", "SERVICES", "DRAINED", "EVACUATED"];
     format.print(&value, &titles, &[row]);
     Ok(())
 }
--- a/crates/snipespan/src/connection.rs
+++ b/crates/snipespan/src/connection.rs
@@ -115,6 +115,15 @@
         Ok(self.client.list_backend_servers(req).await?.into_inner().backend_servers)
     }
 
+    /// Returns the data centres as known to the entry.
+    ///
+    /// # Errors
+    /// If the entry refuses the call or does not reply within the timeout.
+    pub async fn list_data_centres(&mut self) -> Result<Vec<v1::DataCentre>> {
+        let req = self.authorized_request(v1::ListDataCentresRequest {})?;
+        Ok(self.client.list_data_centres(req).await?.into_inner().data_centres)
+    }
+
     /// Returns the report over all entries for the last `last_seconds` seconds; 0 means one day.
     ///
     /// # Errors
--- a/crates/snipespan/tests/cli.rs
+++ b/crates/snipespan/tests/cli.rs
@@ -130,3 +130,30 @@
     let completions = cli.run(&["completions", "bash"]).await;
     assert!(String::from_utf8_lossy(&completions.stdout).contains("_snipespan"));
 }
+
+/// Guards against an evacuation that the list of data centres does not show, and against a misspelt
+/// name that is accepted or refused without the known names.
+#[tokio::test(flavor = "multi_thread")]
+async fn data_centre_evacuate_and_restore() {
+    let cli = Cli::start().await;
+    let listed = cli.json(&["data-centre", "list"]).await;
+    let name = listed[0]["name"].as_str().expect("a data centre is listed").to_owned();
+    assert_eq!(listed[0]["evacuated"], false, "{listed}");
+    let misspelt = cli.run(&["data-centre", "evacuate", "nowhere"]).await;
+    assert_eq!(misspelt.status.code(), Some(3), "{misspelt:?}");
+    assert!(String::from_utf8_lossy(&misspelt.stderr).contains(&name), "{misspelt:?}");
+    cli.json(&["data-centre", "evacuate", &name]).await;
+    let is_evacuated =
+        async || cli.json(&["data-centre", "list"]).await[0]["evacuated"].as_bool() == Some(true);
+    while !is_evacuated().await {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(cli.json(&["configuration"]).await["evacuated"][0], name.as_str());
+    cli.json(&["data-centre", "restore", &name]).await;
+    while is_evacuated().await {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let again = cli.run(&["data-centre", "restore", &name]).await;
+    assert_eq!(again.status.code(), Some(3), "{again:?}");
+    assert!(String::from_utf8_lossy(&again.stderr).contains("is not evacuated"), "{again:?}");
+}
--- a/crates/snipespan_core/src/configuration.rs
+++ b/crates/snipespan_core/src/configuration.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::identity::CredentialDigest;
+use crate::identity::DataCentre;
 use crate::identity::VmId;
 
 /// Number of an accepted configuration; 0 before the first change, then 1 more per change.
@@ -96,8 +97,18 @@
     pub services: BTreeMap<CompactString, ServiceSpec>,
     /// VMs of the backend servers that operators are draining.
     pub drained: BTreeSet<VmId>,
+    /// Data centres that operators have evacuated: their backend servers get no new work. Absent
+    /// from the encoding while it is empty, which is that of processes without evacuations.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated: BTreeSet<DataCentre>,
 }
 
+/// Maximum number of evacuated data centres; the system is designed for 15 data centres.
+pub const MAX_EVACUATED: usize = 256;
+
+/// Maximum length of the name of a data centre in bytes.
+pub const MAX_DATA_CENTRE_NAME_BYTES: usize = 200;
+
 /// A change of the configuration that an operator requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -117,6 +128,10 @@
     Drain(VmId),
     /// Resumes sending work to a drained backend server.
     Undrain(VmId),
+    /// Stops sending new work to all backend servers of a data centre.
+    Evacuate(DataCentre),
+    /// Resumes sending work to the backend servers of an evacuated data centre.
+    Restore(DataCentre),
 }
 
 /// Reason why a change is rejected.
@@ -148,6 +163,25 @@
         /// Name of the account that already has the key.
         owner: CompactString,
     },
+    /// The data centre to be evacuated has no backend servers that the entry has heard of.
+    #[display("data centre {name:?} is not known; known data centres: {known}")]
+    UnknownDataCentre {
+        /// Name of the data centre.
+        name: CompactString,
+        /// Names of the known data centres, separated by commas.
+        known: CompactString,
+    },
+    /// The data centre to be restored is not evacuated.
+    #[display("data centre {name:?} is not evacuated; evacuated data centres: {evacuated}")]
+    NotEvacuated {
+        /// Name of the data centre.
+        name: CompactString,
+        /// Names of the evacuated data centres, separated by commas.
+        evacuated: CompactString,
+    },
+    /// The maximum number of data centres are evacuated.
+    #[display("{MAX_EVACUATED} data centres are evacuated already, which is the maximum")]
+    TooManyEvacuated,
 }
 
 impl Configuration {
@@ -184,6 +218,19 @@
                     return Err(ChangeError::NotFound { kind: "drained VM", name: vm.0.clone() });
                 }
             }
+            Change::Evacuate(name) => {
+                check_data_centre(name)?;
+                next.evacuated.insert(name.clone());
+                if next.evacuated.len() > MAX_EVACUATED {
+                    return Err(ChangeError::TooManyEvacuated);
+                }
+            }
+            Change::Restore(name) => {
+                if !next.evacuated.remove(name) {
+                    let evacuated = name_list(self.evacuated.iter());
+                    return Err(ChangeError::NotEvacuated { name: name.0.clone(), evacuated });
+                }
+            }
         }
         Ok(next)
     }
@@ -235,6 +282,21 @@
     Err(ChangeError::OutOfRange { field: "name", name: name.clone(), allowed })
 }
 
+fn check_data_centre(name: &DataCentre) -> Result<(), ChangeError> {
+    if (1..=MAX_DATA_CENTRE_NAME_BYTES).contains(&name.0.len()) {
+        return Ok(());
+    }
+    // The whole name of a request of any length does not belong in an error message.
+    let name = name.0.chars().take(32).collect();
+    Err(ChangeError::OutOfRange { field: "data centre name", name, allowed: "1 to 200 bytes long" })
+}
+
+/// Returns the names of data centres for an error message, "none" if there are none.
+pub fn name_list<'a>(names: impl Iterator<Item = &'a DataCentre>) -> CompactString {
+    let names: Vec<_> = names.map(|name| name.0.as_str()).collect();
+    if names.is_empty() { "none".into() } else { names.join(", ").into() }
+}
+
 fn check_positive(
     field: &'static str,
     name: &CompactString,
--- a/crates/snipespan_core/src/entry.rs
+++ b/crates/snipespan_core/src/entry.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry: admission, placement, retries, expiry and the report.
 
+pub mod decision;
 pub mod effect;
 pub mod event;
 pub mod settings;
--- a/crates/snipespan_core/src/entry/effect.rs
+++ b/crates/snipespan_core/src/entry/effect.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::attempt::AttemptSpec;
+use crate::entry::decision::Decision;
 use crate::entry::tables::report::Report;
 use crate::identity::EligibleInstance;
 use crate::identity::RequestId;
@@ -112,6 +113,8 @@
         /// The counts of the window so far.
         report: Box<Report>,
     },
+    /// Write a decision to the log.
+    LogDecision(Box<Decision>),
     /// Publish whether the process is ready for callers.
     SetReady(bool),
     /// Exit the process; the planned stop is complete.
--- a/crates/snipespan_core/src/entry/systems.rs
+++ b/crates/snipespan_core/src/entry/systems.rs
@@ -2,6 +2,7 @@
 
 pub mod arrivals;
 pub mod attempts;
+pub mod availability;
 pub mod configuration;
 pub mod ending;
 pub mod expiry;
--- a/crates/snipespan_core/src/entry/systems/membership.rs
+++ b/crates/snipespan_core/src/entry/systems/membership.rs
@@ -13,6 +13,7 @@
 use crate::entry::world::World;
 use crate::identity::VmId;
 use crate::keys::BackendServerKey;
+use crate::keys::DataCentreKey;
 use crate::lifecycle::backend_server::BackendServerEvent;
 use crate::time::Timestamp;
 
@@ -50,6 +51,7 @@
 }
 
 fn apply_vm_list(world: &mut World, now: Timestamp, vms: &[Vm], effects: &mut Vec<Effect>) {
+    world.has_vm_list = true;
     let listed: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.id).collect();
     for vm in vms {
         put_backend_server(world, now, vm);
@@ -71,7 +73,7 @@
 fn put_backend_server(world: &mut World, now: Timestamp, vm: &Vm) {
     let is_drained = world.configuration.as_ref().is_some_and(|c| c.drained.contains(&vm.id));
     let known = world.backend_servers.find_by_vm(&vm.id);
-    let Some(key) = known.or_else(|| world.backend_servers.add(vm.clone())) else {
+    let Some((key, data_centre)) = find_or_add(world, vm, known) else {
         world.counters.backend_servers_left_out += 1;
         return;
     };
@@ -80,10 +82,23 @@
     }
     let Some(row) = world.backend_servers.rows.get_mut(key) else { return };
     row.vm.clone_from(vm);
+    row.data_centre = data_centre;
     row.is_drained = is_drained;
     row.update_leaving();
 }
 
+/// Returns the keys of a VM's backend server and data centre; `None` if one of the tables is full.
+fn find_or_add(
+    world: &mut World,
+    vm: &Vm,
+    known: Option<BackendServerKey>,
+) -> Option<(BackendServerKey, DataCentreKey)> {
+    let data_centre = world.data_centres.find_or_insert(&vm.data_centre).ok()?;
+    let key = known.or_else(|| world.backend_servers.add(vm.clone(), data_centre))?;
+    world.data_centres.set_listed(data_centre);
+    Some((key, data_centre))
+}
+
 fn apply_hello(world: &mut World, key: BackendServerKey, hello: &Hello) {
     let Some(row) = world.backend_servers.rows.get_mut(key) else { return };
     let is_replaced =
@@ -92,6 +107,7 @@
         row.clear_prefix_digests();
         row.failures = 0;
     }
+    row.is_untried = false;
     row.reported_leaving = hello.is_leaving;
     row.lifecycle.handle(&BackendServerEvent::Connected);
     row.update_leaving();
@@ -110,6 +126,7 @@
     let Some(row) = world.backend_servers.rows.get_mut(key) else { return };
     row.lifecycle.handle(&BackendServerEvent::Lost);
     row.hello = None;
+    row.is_untried = false;
     row.reported_leaving = false;
     row.update_leaving();
     let connect_at = now.after(RECONNECT_AFTER + Duration::from_micros(jitter_us));
--- a/crates/snipespan_core/src/entry/systems/placing.rs
+++ b/crates/snipespan_core/src/entry/systems/placing.rs
@@ -5,9 +5,13 @@
 use rand::RngExt;
 
 use crate::attempt::AttemptSpec;
+use crate::entry::decision::Decision;
 use crate::entry::effect::Dispatch;
 use crate::entry::effect::Effect;
 use crate::entry::systems::attempts;
+use crate::entry::systems::availability;
+use crate::entry::systems::availability::ObstacleCounts;
+use crate::entry::systems::availability::SendObstacle;
 use crate::entry::systems::ending;
 use crate::entry::systems::records;
 use crate::entry::systems::routing;
@@ -58,7 +62,8 @@
     }
 }
 
-/// Schedules another placement of a request, or ends it once it has waited for the placing limit.
+/// Schedules another placement of a request, or ends it once it has waited for the placing limit or
+/// if no backend server is left for it.
 pub fn defer_placement(
     world: &mut World,
     now: Timestamp,
@@ -66,6 +71,10 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some(row) = world.requests.get(key) else { return };
+    if let Some((reason, counts)) = availability::lasting_obstacle(world, now, row) {
+        refuse(world, key, reason, counts, effects);
+        return;
+    }
     if now.since(row.placing_since) >= world.settings.placing_limit {
         attempts::fail_request(world, key, effects);
         return;
@@ -74,6 +83,26 @@
     world.schedule_placement(key, now.after(pause));
 }
 
+/// Refuses a request for which no backend server is left until operators change the configuration.
+fn refuse(
+    world: &mut World,
+    key: RequestKey,
+    reason: SendObstacle,
+    counts: ObstacleCounts,
+    effects: &mut Vec<Effect>,
+) {
+    let revision = world.configuration.as_ref().map(|c| c.revision).unwrap_or_default();
+    let Some(row) = world.requests.get_mut(key) else { return };
+    // When operators act is unknown, and what a backend server said of its load no longer counts.
+    row.retry_after = None;
+    let target = row.target.clone();
+    let id = row.id;
+    let decision = target.map(|target| Decision::Refused { id, target, reason, counts, revision });
+    effects.extend(decision.map(|decision| Effect::LogDecision(Box::new(decision))));
+    world.counters.refused_evacuated += 1;
+    ending::end_with_code(world, key, ResultCode::NoBackendServer, effects);
+}
+
 fn dispatch(world: &mut World, now: Timestamp, key: RequestKey, choice: Choice) -> Option<Effect> {
     let request = world.requests.get_mut(key)?;
     let backend_server = world.backend_servers.rows.get_mut(choice.backend_server)?;
--- a/crates/snipespan_core/src/entry/systems/records.rs
+++ b/crates/snipespan_core/src/entry/systems/records.rs
@@ -7,6 +7,7 @@
 use crate::entry::event::Event;
 use crate::entry::event::RecordAnswer;
 use crate::entry::event::RecordState;
+use crate::entry::systems::availability;
 use crate::entry::systems::ending;
 use crate::entry::systems::placing;
 use crate::entry::tables::backend_servers::BackendServer;
@@ -75,8 +76,8 @@
     let Some(target) = &request.target else { return Vec::new() };
     let servers = world.backend_servers.find_by_target(target).iter();
     let instances = servers.filter_map(|key| {
-        let row = world.backend_servers.rows.get(*key).filter(|row| row.is_ready())?;
-        Some((*key, incarnation(row)?))
+        let row = world.backend_servers.rows.get(*key)?;
+        availability::may_be_recorded(world, *key).then_some((*key, incarnation(row)?))
     });
     instances.collect()
 }
--- a/crates/snipespan_core/src/entry/systems/routing.rs
+++ b/crates/snipespan_core/src/entry/systems/routing.rs
@@ -6,8 +6,7 @@
 use rand::rngs::SmallRng;
 
 use crate::entry::settings::RoutingPolicy;
-use crate::entry::tables::backend_servers::BackendServer;
-use crate::entry::tables::backend_servers::BackendServers;
+use crate::entry::systems::availability;
 use crate::entry::tables::requests::Request;
 use crate::entry::world::World;
 use crate::keys::BackendServerKey;
@@ -67,13 +66,13 @@
     let uses_all = all.len() <= MAX_CANDIDATES || world.settings.routing.considers_all();
     if !uses_all {
         let drawn = draw_candidates(&mut world.rng, all);
-        let drawn = preferred(&world.backend_servers, request, &drawn, now);
+        let drawn = availability::usable_backend_servers(world, now, request, &drawn);
         if !drawn.is_empty() {
             return Some(drawn);
         }
     }
-    let preferred = preferred(&world.backend_servers, request, all, now);
-    (!preferred.is_empty()).then_some(preferred)
+    let usable = availability::usable_backend_servers(world, now, request, all);
+    (!usable.is_empty()).then_some(usable)
 }
 
 fn draw_candidates(rng: &mut SmallRng, all: &[BackendServerKey]) -> Vec<BackendServerKey> {
@@ -81,40 +80,6 @@
     (0..MAX_CANDIDATES).map(draw_one).collect()
 }
 
-/// Returns the preferred ones of the ready backend servers in `keys`.
-///
-/// These are the ones that are past their backoff and not avoided by the request, else those that
-/// are not avoided, else all that are ready.
-fn preferred(
-    servers: &BackendServers,
-    request: &Request,
-    keys: &[BackendServerKey],
-    now: Timestamp,
-) -> Vec<BackendServerKey> {
-    let row = |key: &BackendServerKey| servers.rows.get(*key);
-    let may_dispatch_to = |key: &BackendServerKey, row: &BackendServer| {
-        let hello = row.hello.as_ref();
-        row.is_ready()
-            && hello.is_some_and(|hello| request.may_dispatch_to(*key, hello.incarnation))
-    };
-    let ready = keys.iter().copied();
-    let ready = ready.filter(|key| row(key).is_some_and(|row| may_dispatch_to(key, row)));
-    let ready: Vec<_> = ready.collect();
-    let is_not_avoided = |key: &BackendServerKey| !request.avoids(*key);
-    let is_past_backoff =
-        |key: &BackendServerKey| row(key).is_some_and(|row| row.backoff_until <= now);
-    let preferred: Vec<_> =
-        ready.iter().copied().filter(|k| is_not_avoided(k) && is_past_backoff(k)).collect();
-    if !preferred.is_empty() {
-        return preferred;
-    }
-    let not_avoided: Vec<_> = ready.iter().copied().filter(is_not_avoided).collect();
-    match not_avoided.is_empty() {
-        true => ready,
-        false => not_avoided,
-    }
-}
-
 /// Estimates the time to the first token; the number of open requests breaks ties.
 fn estimate(
     world: &World,
--- a/crates/snipespan_core/src/entry/tables.rs
+++ b/crates/snipespan_core/src/entry/tables.rs
@@ -3,5 +3,6 @@
 pub mod accounts;
 pub mod attempts;
 pub mod backend_servers;
+pub mod data_centres;
 pub mod report;
 pub mod requests;
--- a/crates/snipespan_core/src/entry/tables/backend_servers.rs
+++ b/crates/snipespan_core/src/entry/tables/backend_servers.rs
@@ -17,6 +17,7 @@
 use crate::identity::Target;
 use crate::identity::VmId;
 use crate::keys::BackendServerKey;
+use crate::keys::DataCentreKey;
 use crate::lifecycle::backend_server::BackendServerEvent;
 use crate::lifecycle::backend_server::BackendServerLifecycle;
 use crate::lifecycle::backend_server::State;
@@ -63,6 +64,11 @@
 pub struct BackendServer {
     /// Its VM, as listed by the platform.
     pub vm: Vm,
+    /// Data centre of its VM.
+    pub data_centre: DataCentreKey,
+    /// Whether the first connection to its side process has neither succeeded nor failed yet, so
+    /// that what it serves is unknown.
+    pub is_untried: bool,
     /// Whether the platform's latest list of VMs contains it.
     pub is_listed: bool,
     /// Whether an operator is draining it.
@@ -97,9 +103,11 @@
 
 impl BackendServer {
     /// Creates a backend server that is not connected yet.
-    pub fn new(vm: Vm) -> Self {
+    pub fn new(vm: Vm, data_centre: DataCentreKey) -> Self {
         Self {
             vm,
+            data_centre,
+            is_untried: true,
             is_listed: true,
             is_drained: false,
             reported_leaving: false,
@@ -247,9 +255,9 @@
     }
 
     /// Adds the backend server of a VM and returns its key; `None` if the table is full.
-    pub fn add(&mut self, vm: Vm) -> Option<BackendServerKey> {
+    pub fn add(&mut self, vm: Vm, data_centre: DataCentreKey) -> Option<BackendServerKey> {
         let id = vm.id.clone();
-        let key = self.rows.insert(BackendServer::new(vm)).ok()?;
+        let key = self.rows.insert(BackendServer::new(vm, data_centre)).ok()?;
         self.by_vm.insert(id, key);
         Some(key)
     }
--- a/crates/snipespan_core/src/entry/tick.rs
+++ b/crates/snipespan_core/src/entry/tick.rs
@@ -26,7 +26,7 @@
 /// Handles `events` and runs every system once, in a fixed order.
 pub fn tick(world: &mut World, now: Timestamp, events: &[Event]) -> Tick {
     let mut effects = Vec::new();
-    configuration::run(world, events);
+    configuration::run(world, events, &mut effects);
     let connect_at = membership::run(world, now, events, &mut effects);
     arrivals::run(world, now, events, &mut effects);
     records::run(world, now, events, &mut effects);
--- a/crates/snipespan_core/src/entry/world.rs
+++ b/crates/snipespan_core/src/entry/world.rs
@@ -12,6 +12,7 @@
 use crate::entry::tables::accounts::Accounts;
 use crate::entry::tables::attempts::Attempt;
 use crate::entry::tables::backend_servers::BackendServers;
+use crate::entry::tables::data_centres::DataCentres;
 use crate::entry::tables::report::Report;
 use crate::entry::tables::requests::Request;
 use crate::keys::AttemptKey;
@@ -48,6 +49,11 @@
     pub older_configurations: u64,
     /// VMs that were skipped because the table of backend servers was full.
     pub backend_servers_left_out: u64,
+    /// Evacuated data centres that were skipped because the table of data centres was full.
+    pub data_centres_left_out: u64,
+    /// Requests that were refused at once because operators have evacuated the data centres of all
+    /// their backend servers.
+    pub refused_evacuated: u64,
 }
 
 /// Progress of writing the operators' report to the store.
@@ -81,6 +87,10 @@
     pub accounts: Accounts,
     /// Known backend servers.
     pub backend_servers: BackendServers,
+    /// Known data centres.
+    pub data_centres: DataCentres,
+    /// Whether the platform's list of VMs was read since the process started.
+    pub has_vm_list: bool,
     /// Open requests.
     pub requests: Table<Request>,
     /// Open attempts.
@@ -113,6 +123,7 @@
         let max_requests = settings.max_requests;
         let rng = SmallRng::seed_from_u64(settings.seed);
         let backend_servers = BackendServers::new(settings.max_backend_servers);
+        let data_centres = DataCentres::new(&settings.data_centre);
         Self {
             settings,
             configuration: None,
@@ -122,6 +133,8 @@
             idle_since: None,
             accounts: Accounts::default(),
             backend_servers,
+            data_centres,
+            has_vm_list: false,
             requests: Table::new(max_requests),
             attempts: Table::<Attempt>::new(max_requests),
             deadlines: BTreeSet::new(),
--- a/crates/snipespan_core/src/identity.rs
+++ b/crates/snipespan_core/src/identity.rs
@@ -31,7 +31,9 @@
 pub struct VmId(pub CompactString);
 
 /// Name of a data centre.
-#[derive(Clone, Debug, Display, From, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct DataCentre(pub CompactString);
 
 /// A VM and the incarnation of its side process to which an unrepeatable request may be
--- a/crates/snipespan_core/src/keys.rs
+++ b/crates/snipespan_core/src/keys.rs
@@ -15,7 +15,7 @@
     pub struct CallerKey;
     /// Key of an entry's connection to a side process.
     pub struct ConnectionKey;
-    /// Key of a data centre in a gateway's table of data centres.
+    /// Key of a data centre in the table of data centres of an entry or a gateway.
     pub struct DataCentreKey;
     /// Key of another gateway in a gateway's peer table.
     pub struct PeerKey;
--- a/crates/snipespan_core/tests/entry/main.rs
+++ b/crates/snipespan_core/tests/entry/main.rs
@@ -3,6 +3,7 @@
 
 mod arrivals;
 mod attempts;
+mod evacuation;
 mod kit;
 mod membership;
 mod replay;
--- a/crates/snipespand/src/entry/operators.rs
+++ b/crates/snipespand/src/entry/operators.rs
@@ -17,7 +17,9 @@
 use snipespan_admin::v1;
 use snipespan_admin::v1::admin_server::Admin;
 use snipespan_admin::v1::admin_server::AdminServer;
+use snipespan_core::configuration::Change;
 use snipespan_core::configuration::Revision;
+use snipespan_core::identity::DataCentre;
 use snipespan_core::result_code::ResultCode;
 use snipespan_platform::client::PlatformClient;
 use snipespan_platform::configuration_store::ChainedConfiguration;
@@ -45,7 +47,7 @@
 use crate::clock::Clock;
 use crate::entry::configuration::ConfigurationHandle;
 use crate::entry::operators::convert::configuration_message;
-use crate::entry::shell::BackendServerView;
+use crate::entry::shell::DataCentreUnknown;
 use crate::entry::shell::Input;
 use crate::process::wait_for_stop;
 
@@ -145,6 +147,16 @@
     error_status(code, &failure.to_string())
 }
 
+fn unknown_data_centre_status(unknown: &DataCentreUnknown) -> Status {
+    match unknown {
+        DataCentreUnknown::NoVmList => error_status(
+            ResultCode::NotReady,
+            "the entry has not read the platform's list of VMs yet, which names the data centres",
+        ),
+        DataCentreUnknown::NotListed(e) => error_status(ResultCode::InvalidChange, &e.to_string()),
+    }
+}
+
 fn parse_change_id(id: &str) -> Result<CompactString, Status> {
     let has_valid_characters =
         id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
@@ -156,12 +168,30 @@
 }
 
 impl AdminService {
-    async fn inspect_backend_servers(&self) -> Result<Vec<BackendServerView>, Status> {
+    /// Sends the control thread the input that `input` builds, and returns its reply.
+    async fn ask_control<T>(
+        &self,
+        input: impl FnOnce(oneshot::Sender<T>) -> Input,
+    ) -> Result<T, Status> {
         let (reply, answer) = oneshot::channel();
         let stopping = |_| error_status(ResultCode::Leaving, "the entry is stopping");
-        self.control.send(Input::InspectBackendServers(reply)).await.map_err(|_| stopping(()))?;
+        self.control.send(input(reply)).await.map_err(|_| stopping(()))?;
         answer.await.map_err(|_| stopping(()))
     }
+
+    /// Checks that the data centre of an evacuation is known, so that a misspelt name is not
+    /// accepted. A retry of an accepted change is not checked, as the name may be gone since.
+    async fn check_data_centre(&self, name: &DataCentre, change_id: &str) -> Result<(), Status> {
+        let input = |reply| Input::CheckDataCentre(name.clone(), reply);
+        let Err(unknown) = self.ask_control(input).await? else { return Ok(()) };
+        let accepted = self.store.find_revision(change_id).await;
+        let accepted =
+            accepted.map_err(|e| error_status(ResultCode::StoreUnavailable, &e.to_string()))?;
+        match accepted {
+            Some(_) => Ok(()),
+            None => Err(unknown_data_centre_status(&unknown)),
+        }
+    }
 }
 
 #[tonic::async_trait]
@@ -184,6 +214,9 @@
             base: req.base_revision.map(Revision),
             change,
         };
+        if let Change::Evacuate(name) = &req.change {
+            self.check_data_centre(name, &req.change_id).await?;
+        }
         let applied = self.store.apply(&req).await;
         self.configuration.refresh_now();
         match applied {
@@ -228,11 +261,20 @@
         &self,
         _req: Request<v1::ListBackendServersRequest>,
     ) -> Result<Response<v1::ListBackendServersResponse>, Status> {
-        let views = self.inspect_backend_servers().await?;
+        let views = self.ask_control(Input::InspectBackendServers).await?;
         let backend_servers = views.iter().map(convert::backend_server_message).collect();
         Ok(Response::new(v1::ListBackendServersResponse { backend_servers }))
     }
 
+    async fn list_data_centres(
+        &self,
+        _req: Request<v1::ListDataCentresRequest>,
+    ) -> Result<Response<v1::ListDataCentresResponse>, Status> {
+        let views = self.ask_control(Input::InspectDataCentres).await?;
+        let data_centres = views.iter().map(convert::data_centre_message).collect();
+        Ok(Response::new(v1::ListDataCentresResponse { data_centres }))
+    }
+
     async fn get_report(
         &self,
         req: Request<v1::GetReportRequest>,
--- a/crates/snipespand/src/entry/operators/convert.rs
+++ b/crates/snipespand/src/entry/operators/convert.rs
@@ -9,10 +9,12 @@
 use snipespan_core::configuration::Priority;
 use snipespan_core::configuration::ServiceSpec;
 use snipespan_core::identity::CredentialDigest;
+use snipespan_core::identity::DataCentre;
 use snipespan_core::identity::VmId;
 use snipespan_core::lifecycle::backend_server::State;
 
 use crate::entry::shell::BackendServerView;
+use crate::entry::shell::DataCentreView;
 
 /// Converts a requested change; the error says which field is invalid.
 pub(super) fn change_from_message(message: ChangeMessage) -> Result<Change, String> {
@@ -40,6 +42,8 @@
         ChangeMessage::RemoveService(name) => Change::RemoveService(name.into()),
         ChangeMessage::Drain(vm) => Change::Drain(VmId(vm.into())),
         ChangeMessage::Undrain(vm) => Change::Undrain(VmId(vm.into())),
+        ChangeMessage::Evacuate(name) => Change::Evacuate(DataCentre(name.into())),
+        ChangeMessage::Restore(name) => Change::Restore(DataCentre(name.into())),
     })
 }
 
@@ -89,6 +93,7 @@
         models: models.collect(),
         services: services.collect(),
         drained: configuration.drained.iter().map(ToString::to_string).collect(),
+        evacuated: configuration.evacuated.iter().map(ToString::to_string).collect(),
     }
 }
 
@@ -112,3 +117,14 @@
         drained: view.is_drained,
     }
 }
+
+/// Converts a data centre to the message for operators.
+pub(super) fn data_centre_message(view: &DataCentreView) -> v1::DataCentre {
+    v1::DataCentre {
+        name: view.name.to_string(),
+        evacuated: view.is_evacuated,
+        backend_servers: view.backend_servers,
+        connected: view.connected,
+        open: view.open,
+    }
+}
--- a/crates/snipespand/src/entry/shell.rs
+++ b/crates/snipespand/src/entry/shell.rs
@@ -6,6 +6,7 @@
 use quinn::Connection;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
+use snipespan_core::configuration::ChangeError;
 use snipespan_core::entry::effect::Dispatch;
 use snipespan_core::entry::effect::Effect;
 use snipespan_core::entry::effect::RecordSpec;
@@ -15,13 +16,16 @@
 use snipespan_core::entry::event::Load;
 use snipespan_core::entry::event::Vm;
 use snipespan_core::entry::tables::backend_servers::BackendServer;
+use snipespan_core::entry::tables::data_centres::DataCentreState;
 use snipespan_core::entry::tick::tick;
 use snipespan_core::entry::world::World;
+use snipespan_core::identity::DataCentre;
 use snipespan_core::identity::RequestId;
 use snipespan_core::identity::Target;
 use snipespan_core::keys::AttemptKey;
 use snipespan_core::keys::BackendServerKey;
 use snipespan_core::keys::CallerKey;
+use snipespan_core::keys::DataCentreKey;
 use snipespan_core::keys::RequestKey;
 use snipespan_core::lifecycle::backend_server::State;
 use snipespan_core::result_code::ResultCode;
@@ -50,6 +54,10 @@
     SideConnected { backend_server: BackendServerKey, connection: Connection, hello: Hello },
     /// An operator requested the list of backend servers.
     InspectBackendServers(oneshot::Sender<Vec<BackendServerView>>),
+    /// An operator requested the list of data centres.
+    InspectDataCentres(oneshot::Sender<Vec<DataCentreView>>),
+    /// An operator requested the evacuation of a data centre, whose name must be known.
+    CheckDataCentre(DataCentre, oneshot::Sender<Result<(), DataCentreUnknown>>),
     /// Any other event for the decision code.
     Event(Event),
 }
@@ -90,6 +98,27 @@
     pub(super) is_drained: bool,
 }
 
+/// A data centre as reported to operators.
+#[derive(Clone, Debug)]
+pub(super) struct DataCentreView {
+    pub(super) name: DataCentre,
+    pub(super) is_evacuated: bool,
+    pub(super) backend_servers: u32,
+    /// Number of its backend servers that are connected and not leaving.
+    pub(super) connected: u32,
+    /// Number of this entry's requests that are open at its backend servers.
+    pub(super) open: u32,
+}
+
+/// Why the name of a data centre is not known to the entry.
+#[derive(Clone, Debug)]
+pub(super) enum DataCentreUnknown {
+    /// The entry has not read the platform's list of VMs yet.
+    NoVmList,
+    /// No VM was listed there; the error lists the known names.
+    NotListed(ChangeError),
+}
+
 /// The control state of an entry: the world of the decision code and the handles that its effects
 /// need.
 pub(super) struct Shell {
@@ -119,6 +148,14 @@
                 // The send fails if the operator has disconnected.
                 let _ = reply.send(self.inspect_backend_servers());
             }
+            Input::InspectDataCentres(reply) => {
+                // The send fails if the operator has disconnected.
+                let _ = reply.send(self.inspect_data_centres());
+            }
+            Input::CheckDataCentre(name, reply) => {
+                // The send fails if the operator has disconnected.
+                let _ = reply.send(self.check_data_centre(&name));
+            }
             Input::Event(event) => {
                 if let Event::BackendServerLost { backend_server } = &event {
                     self.connections.remove(*backend_server);
@@ -170,6 +207,7 @@
             Effect::WriteReport { window, report } => {
                 self.report_writer.write_window(window, report);
             }
+            Effect::LogDecision(decision) => log::info!("{decision}"),
             Effect::SetReady(is_ready) => {
                 self.ready.send_replace(is_ready);
             }
@@ -219,6 +257,35 @@
         rows.map(|(_, row)| view(row)).collect()
     }
 
+    fn inspect_data_centres(&self) -> Vec<DataCentreView> {
+        let view = |(key, row): (DataCentreKey, &DataCentreState)| {
+            let servers = self.world.backend_servers.rows.iter().map(|(_, server)| server);
+            let servers: Vec<_> = servers.filter(|server| server.data_centre == key).collect();
+            DataCentreView {
+                name: row.name.clone(),
+                is_evacuated: row.is_evacuated,
+                backend_servers: servers.len() as u32,
+                connected: servers.iter().filter(|server| server.is_ready()).count() as u32,
+                open: servers.iter().map(|server| server.open).sum(),
+            }
+        };
+        let mut views: Vec<_> = self.world.data_centres.rows.iter().map(view).collect();
+        views.sort_by(|a, b| a.name.cmp(&b.name));
+        views
+    }
+
+    fn check_data_centre(&self, name: &DataCentre) -> Result<(), DataCentreUnknown> {
+        let known = self.world.data_centres.check_known(name);
+        known.map_err(|unknown| match self.world.has_vm_list {
+            true => DataCentreUnknown::NotListed(unknown),
+            false => DataCentreUnknown::NoVmList,
+        })
+    }
+
+    fn evacuated_count(world: &World) -> u64 {
+        world.data_centres.rows.iter().filter(|(_, row)| row.is_evacuated).count() as u64
+    }
+
     fn collect_metrics(world: &World) -> Vec<Metric> {
         let counters = world.counters;
         vec![
@@ -231,6 +298,9 @@
             Metric::Counter("retries.over_budget", counters.retries_over_budget),
             Metric::Counter("configurations.older", counters.older_configurations),
             Metric::Counter("backend_servers.left_out", counters.backend_servers_left_out),
+            Metric::Counter("requests.refused_evacuated", counters.refused_evacuated),
+            Metric::Counter("data_centres.left_out", counters.data_centres_left_out),
+            Metric::Gauge("data_centres.evacuated", Self::evacuated_count(world)),
             Metric::Gauge("requests.open", world.requests.len() as u64),
             Metric::Gauge("requests.body_bytes", world.body_bytes),
             Metric::Gauge("backend_servers.in_view", world.backend_servers.rows.len() as u64),
--- a/crates/snipespand/tests/it/harness.rs
+++ b/crates/snipespand/tests/it/harness.rs
@@ -171,10 +171,21 @@
 
     /// Adds a VM to the VM list of the platform, or replaces its row.
     pub(crate) fn list_vm(&mut self, id: &str, address: &str, state: platform_v1::VmState) {
+        self.list_vm_in("graz-1", id, address, state);
+    }
+
+    /// Adds a VM of a data centre to the VM list of the platform, or replaces its row.
+    pub(crate) fn list_vm_in(
+        &mut self,
+        data_centre: &str,
+        id: &str,
+        address: &str,
+        state: platform_v1::VmState,
+    ) {
         self.vms.retain(|vm| vm.id != id);
         self.vms.push(platform_v1::Vm {
             id: id.to_owned(),
-            data_centre: "graz-1".to_owned(),
+            data_centre: data_centre.to_owned(),
             side_address: address.to_owned(),
             state: state.into(),
         });
--- a/crates/snipespand/tests/it/main.rs
+++ b/crates/snipespand/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod ends_in_time;
 mod engine_memory;
+mod evacuation;
 mod harness;
 mod history;
 mod leaving;
