Entries keep requests in the home regions of model and account

Cause: operators could not say in which regions a model's or an account's requests may run.

Change: ModelSpec and AccountSpec get home_regions (schema, command line, settings section [data_centres] for the region of a data centre). The entry's availability.rs has the obstacle 'outside home regions'; a request holds its homes as a set of bits. With none left it is refused at once. Test fixtures get the new fields, empty.

--- a/crates/snipespan/src/args.rs
+++ b/crates/snipespan/src/args.rs
@@ -103,6 +103,15 @@
     arg.value_parser(value_parser!(u64)).default_value(default)
 }
 
+/// Builds the repeatable option `--home-region`.
+fn home_region_arg() -> Arg {
+    let arg = Arg::new("home-region").long("home-region").value_name("REGION");
+    arg.action(ArgAction::Append).help(
+        "Region whose backend servers may get the requests. May be given more than once \
+         [default: all regions]",
+    )
+}
+
 fn account_command() -> Command {
     let api_key_file = Arg::new("api-key-file")
         .long("api-key-file")
@@ -132,6 +141,7 @@
             "Maximum number of open requests at one entry, at least 1",
         ))
         .arg(disabled)
+        .arg(home_region_arg())
         .args(change_args());
     let remove = Command::new("remove")
         .about("Remove a client account")
@@ -163,6 +173,7 @@
             "600000",
             "Maximum and default time for a request in ms, at least 1",
         ))
+        .arg(home_region_arg())
         .args(change_args());
     let remove = Command::new("remove")
         .about("Remove a model")
--- a/crates/snipespan/src/commands.rs
+++ b/crates/snipespan/src/commands.rs
@@ -85,6 +85,11 @@
     matches.get_one::<u64>(id).copied().unwrap_or_default()
 }
 
+/// Returns the values of the option `--home-region`.
+fn get_home_regions(matches: &ArgMatches) -> Vec<String> {
+    matches.get_many::<String>("home-region").unwrap_or_default().cloned().collect()
+}
+
 /// Returns the value of a text argument, which is required or has a default.
 fn get_text(matches: &ArgMatches, id: &str) -> String {
     matches.get_one::<String>(id).cloned().unwrap_or_default()
--- a/crates/snipespan/src/commands/account.rs
+++ b/crates/snipespan/src/commands/account.rs
@@ -16,12 +16,14 @@
 use snipespan_admin::v1::change::Change;
 
 use crate::commands::apply_change;
+use crate::commands::get_home_regions;
 use crate::commands::get_number;
 use crate::commands::get_text;
 use crate::connection::Connection;
 use crate::output::Format;
 
-const TITLES: [&str; 6] = ["ACCOUNT", "KEYS", "PRIORITY", "WEIGHT", "MAX OPEN", "DISABLED"];
+const TITLES: [&str; 7] =
+    ["ACCOUNT", "KEYS", "PRIORITY", "WEIGHT", "MAX OPEN", "DISABLED", "HOME REGIONS"];
 
 /// Runs the subcommand and prints its result.
 ///
@@ -78,6 +80,7 @@
         weight: u32::try_from(get_number(matches, "weight"))?,
         max_open: u32::try_from(get_number(matches, "max-open"))?,
         disabled: matches.get_flag("disabled"),
+        home_regions: get_home_regions(matches),
     })
 }
 
@@ -90,6 +93,7 @@
         "weight": account.weight,
         "max_open": account.max_open,
         "disabled": account.disabled,
+        "home_regions": account.home_regions,
     })
 }
 
@@ -101,5 +105,6 @@
         account.weight.to_string(),
         account.max_open.to_string(),
         account.disabled.to_string(),
+        account.home_regions.join(" "),
     ]
 }
--- a/crates/snipespan/src/commands/data_centre.rs
+++ b/crates/snipespan/src/commands/data_centre.rs
@@ -13,7 +13,8 @@
 use crate::connection::Connection;
 use crate::output::Format;
 
-const TITLES: [&str; 5] = ["DATA CENTRE", "EVACUATED", "BACKEND SERVERS", "CONNECTED", "OPEN"];
+const TITLES: [&str; 6] =
+    ["DATA CENTRE", "REGION", "EVACUATED", "BACKEND SERVERS", "CONNECTED", "OPEN"];
 
 /// Runs the subcommand and prints its result.
 ///
@@ -43,6 +44,7 @@
 fn to_json(data_centre: &DataCentre) -> Value {
     json!({
         "name": data_centre.name,
+        "region": data_centre.region,
         "evacuated": data_centre.evacuated,
         "backend_servers": data_centre.backend_servers,
         "connected": data_centre.connected,
@@ -53,6 +55,7 @@
 fn to_row(data_centre: &DataCentre) -> Vec<String> {
     vec![
         data_centre.name.clone(),
+        data_centre.region.clone().unwrap_or_else(|| "-".to_owned()),
         data_centre.evacuated.to_string(),
         data_centre.backend_servers.to_string(),
         data_centre.connected.to_string(),
--- a/crates/snipespan/src/commands/model.rs
+++ b/crates/snipespan/src/commands/model.rs
@@ -9,12 +9,14 @@
 use snipespan_admin::v1::change::Change;
 
 use crate::commands::apply_change;
+use crate::commands::get_home_regions;
 use crate::commands::get_number;
 use crate::commands::get_text;
 use crate::connection::Connection;
 use crate::output::Format;
 
-const TITLES: [&str; 4] = ["MODEL", "MAX PROMPT TOKENS", "MAX OUTPUT TOKENS", "TIME LIMIT MS"];
+const TITLES: [&str; 5] =
+    ["MODEL", "MAX PROMPT TOKENS", "MAX OUTPUT TOKENS", "TIME LIMIT MS", "HOME REGIONS"];
 
 /// Runs the subcommand and prints its result.
 ///
@@ -28,6 +30,7 @@
                 max_prompt_tokens: get_number(matches, "max-prompt-tokens"),
                 max_output_tokens: get_number(matches, "max-output-tokens"),
                 time_limit_ms: get_number(matches, "time-limit-ms"),
+                home_regions: get_home_regions(matches),
             };
             apply_change(connection, matches, Change::PutModel(model), format).await
         }
@@ -58,6 +61,7 @@
         "max_prompt_tokens": model.max_prompt_tokens,
         "max_output_tokens": model.max_output_tokens,
         "time_limit_ms": model.time_limit_ms,
+        "home_regions": model.home_regions,
     })
 }
 
@@ -67,5 +71,6 @@
         model.max_prompt_tokens.to_string(),
         model.max_output_tokens.to_string(),
         model.time_limit_ms.to_string(),
+        model.home_regions.join(" "),
     ]
 }
--- a/crates/snipespan_core/src/configuration.rs
+++ b/crates/snipespan_core/src/configuration.rs
@@ -62,6 +62,10 @@
     pub max_open: u32,
     /// Whether all requests of the account are rejected.
     pub disabled: bool,
+    /// Names of the regions whose backend servers may get the account's requests, besides the
+    /// restriction of the model; empty if all may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<CompactString>,
 }
 
 /// Settings of a model; each number is at least 1.
@@ -73,8 +77,14 @@
     pub max_output_tokens: u64,
     /// Maximum time limit in milliseconds; also the default if the caller sets none.
     pub time_limit_ms: u64,
+    /// Names of the regions whose backend servers may get the model's requests; empty if all may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<CompactString>,
 }
 
+/// Maximum number of home regions of an account or a model; the system is designed for 4 regions.
+pub const MAX_HOME_REGIONS: usize = 64;
+
 /// Settings of a plain service; the time limit is at least 1 ms.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSpec {
@@ -239,6 +249,7 @@
         check_name(name)?;
         check_positive("weight", name, u64::from(spec.weight))?;
         check_positive("max_open", name, u64::from(spec.max_open))?;
+        check_home_regions(name, &spec.home_regions)?;
         if spec.priority > LOWEST_PRIORITY {
             let name = name.clone();
             return Err(ChangeError::OutOfRange { field: "priority", name, allowed: "0 to 9" });
@@ -270,6 +281,7 @@
     check_name(name)?;
     check_positive("max_prompt_tokens", name, spec.max_prompt_tokens)?;
     check_positive("max_output_tokens", name, spec.max_output_tokens)?;
+    check_home_regions(name, &spec.home_regions)?;
     check_positive("time_limit_ms", name, spec.time_limit_ms)
 }
 
@@ -282,6 +294,15 @@
     Err(ChangeError::OutOfRange { field: "name", name: name.clone(), allowed })
 }
 
+fn check_home_regions(name: &CompactString, regions: &[CompactString]) -> Result<(), ChangeError> {
+    if regions.len() <= MAX_HOME_REGIONS && regions.iter().all(|region| check_name(region).is_ok())
+    {
+        return Ok(());
+    }
+    let allowed = "at most 64 names, each 1 to 64 characters of a-z, A-Z, 0-9, '-', '_', '.'";
+    Err(ChangeError::OutOfRange { field: "home_regions", name: name.clone(), allowed })
+}
+
 fn check_data_centre(name: &DataCentre) -> Result<(), ChangeError> {
     if (1..=MAX_DATA_CENTRE_NAME_BYTES).contains(&name.0.len()) {
         return Ok(());
--- a/crates/snipespan_core/src/entry/settings.rs
+++ b/crates/snipespan_core/src/entry/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use derive_more::Display;
 
 use crate::identity::DataCentre;
@@ -36,6 +37,9 @@
 pub struct EntrySettings {
     /// Data centre of this entry.
     pub data_centre: DataCentre,
+    /// Data centres with the names of their regions, at most
+    /// [`MAX_REGIONS`](crate::entry::tables::regions::MAX_REGIONS) regions.
+    pub regions: Vec<(DataCentre, CompactString)>,
     /// Policy for the choice of a backend server.
     pub routing: RoutingPolicy,
     /// Maximum number of open requests; further requests are refused as overloaded.
--- a/crates/snipespan_core/src/entry/systems/arrivals.rs
+++ b/crates/snipespan_core/src/entry/systems/arrivals.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::configuration::Configuration;
 use crate::configuration::ModelSpec;
 use crate::configuration::ServiceSpec;
@@ -125,6 +127,7 @@
     request.account_name = row.name.clone();
     request.weight = row.spec.weight;
     request.priority = row.spec.priority;
+    request.homes = world.data_centres.regions.homes(&row.spec.home_regions);
     Ok(())
 }
 
@@ -153,7 +156,9 @@
     if !limits.is_repeatable && body.idempotency.is_none() {
         return Err(ResultCode::IdempotencyKeyMissing);
     }
+    let homes = world.data_centres.regions.homes(home_regions(configuration, &body.target));
     let row = world.requests.get_mut(key).ok_or(ResultCode::CallerGone)?;
+    row.homes = row.homes.intersection(homes);
     row.target = Some(body.target.clone());
     row.cost = body.cost;
     row.cost.max_output_tokens = limits.output_tokens;
@@ -168,6 +173,14 @@
     Ok(())
 }
 
+/// Returns the names of the home regions of a target; plain services have none.
+fn home_regions<'a>(configuration: &'a Configuration, target: &Target) -> &'a [CompactString] {
+    match target {
+        Target::Model(name) => configuration.models.get(name).map_or(&[], |m| &m.home_regions),
+        Target::Service(_) => &[],
+    }
+}
+
 fn start_request(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
     let Some(row) = world.requests.get_mut(key) else { return };
     if row.cost.prompt_tokens > LONG_JOB_TOKENS {
--- a/crates/snipespan_core/src/entry/systems/availability.rs
+++ b/crates/snipespan_core/src/entry/systems/availability.rs
@@ -18,6 +18,9 @@
     /// Operators have evacuated its data centre.
     #[display("evacuated")]
     Evacuated,
+    /// Its data centre is in none of the request's home regions.
+    #[display("outside home regions")]
+    OutsideHomeRegions,
     /// It is leaving, or drained by operators.
     #[display("leaving")]
     Leaving,
@@ -42,7 +45,7 @@
     /// Returns whether only operators can end the obstacle, by a change of the configuration.
     pub const fn is_set_by_operators(self) -> bool {
         match self {
-            Self::Evacuated => true,
+            Self::Evacuated | Self::OutsideHomeRegions => true,
             Self::Leaving
             | Self::Disconnected
             | Self::NotEligible
@@ -56,6 +59,7 @@
         match self {
             Self::BackingOff { until } => Some(until),
             Self::Evacuated
+            | Self::OutsideHomeRegions
             | Self::Leaving
             | Self::Disconnected
             | Self::NotEligible
@@ -66,10 +70,15 @@
 
 /// Number of backend servers by the obstacle of one request.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
-#[display("evacuated={evacuated} leaving={leaving} disconnected={disconnected} others={others}")]
+#[display(
+    "evacuated={evacuated} outside_home_regions={outside_home_regions} leaving={leaving} \
+     disconnected={disconnected} others={others}"
+)]
 pub struct ObstacleCounts {
     /// Backend servers of evacuated data centres.
     pub evacuated: u32,
+    /// Backend servers outside the home regions of the request.
+    pub outside_home_regions: u32,
     /// Backend servers that are leaving.
     pub leaving: u32,
     /// Backend servers that are not connected.
@@ -82,6 +91,7 @@
     fn add(&mut self, obstacle: Option<SendObstacle>) {
         let count = match obstacle {
             Some(SendObstacle::Evacuated) => &mut self.evacuated,
+            Some(SendObstacle::OutsideHomeRegions) => &mut self.outside_home_regions,
             Some(SendObstacle::Leaving) => &mut self.leaving,
             Some(SendObstacle::Disconnected) => &mut self.disconnected,
             Some(
@@ -103,7 +113,7 @@
     let Some(row) = world.backend_servers.rows.get(server) else {
         return Some(SendObstacle::Disconnected);
     };
-    if let Some(obstacle) = server_obstacle(world, row) {
+    if let Some(obstacle) = server_obstacle(world, row, request) {
         return Some(obstacle);
     }
     let hello = row.hello.as_ref();
@@ -117,11 +127,15 @@
     (now < until).then_some(SendObstacle::BackingOff { until })
 }
 
-/// Returns why a backend server takes no new work at all, whatever happened to one request before.
-fn server_obstacle(world: &World, row: &BackendServer) -> Option<SendObstacle> {
+/// Returns why a backend server takes no requests of an account and a target, whatever happened to
+/// one of them before.
+fn server_obstacle(world: &World, row: &BackendServer, request: &Request) -> Option<SendObstacle> {
     if world.data_centres.is_evacuated(row.data_centre) {
         return Some(SendObstacle::Evacuated);
     }
+    if !request.homes.allows(world.data_centres.region(row.data_centre)) {
+        return Some(SendObstacle::OutsideHomeRegions);
+    }
     match row.lifecycle.state() {
         State::Ready {} => None,
         State::Connecting {} => Some(SendObstacle::Disconnected),
@@ -131,9 +145,9 @@
 
 /// Returns whether a backend server may be listed in the durable record of a request, as one that
 /// the request may be sent to.
-pub fn may_be_recorded(world: &World, server: BackendServerKey) -> bool {
+pub fn may_be_recorded(world: &World, server: BackendServerKey, request: &Request) -> bool {
     let row = world.backend_servers.rows.get(server);
-    row.is_some_and(|row| server_obstacle(world, row).is_none())
+    row.is_some_and(|row| server_obstacle(world, row, request).is_none())
 }
 
 /// Returns those of the backend servers in `keys` to which a request may be sent at `now`.
@@ -177,13 +191,17 @@
         let obstacle = obstacle(world, now, *key, request);
         counts.add(obstacle);
         match obstacle {
-            Some(obstacle) if obstacle.is_set_by_operators() => reason = Some(obstacle),
+            // An evacuation ends sooner than a home region changes, so it is the reason given.
+            Some(obstacle) if obstacle.is_set_by_operators() => {
+                reason = reason.filter(|r| *r == SendObstacle::Evacuated).or(Some(obstacle));
+            }
             Some(SendObstacle::Leaving | SendObstacle::NotEligible) => {}
             Some(_) | None => return None,
         }
     }
-    let may_serve =
-        |row: &BackendServer| row.is_untried && server_obstacle(world, row).is_none_or(may_end);
+    let may_serve = |row: &BackendServer| {
+        row.is_untried && server_obstacle(world, row, request).is_none_or(may_end)
+    };
     let reason = reason.filter(|_| !world.backend_servers.rows.iter().any(|(_, r)| may_serve(r)));
     reason.map(|reason| (reason, counts))
 }
--- a/crates/snipespan_core/src/entry/systems/placing.rs
+++ b/crates/snipespan_core/src/entry/systems/placing.rs
@@ -99,7 +99,10 @@
     let id = row.id;
     let decision = target.map(|target| Decision::Refused { id, target, reason, counts, revision });
     effects.extend(decision.map(|decision| Effect::LogDecision(Box::new(decision))));
-    world.counters.refused_evacuated += 1;
+    match reason {
+        SendObstacle::Evacuated => world.counters.refused_evacuated += 1,
+        _ => world.counters.refused_outside_home_regions += 1,
+    }
     ending::end_with_code(world, key, ResultCode::NoBackendServer, effects);
 }
 
--- a/crates/snipespan_core/src/entry/systems/records.rs
+++ b/crates/snipespan_core/src/entry/systems/records.rs
@@ -77,7 +77,7 @@
     let servers = world.backend_servers.find_by_target(target).iter();
     let instances = servers.filter_map(|key| {
         let row = world.backend_servers.rows.get(*key)?;
-        availability::may_be_recorded(world, *key).then_some((*key, incarnation(row)?))
+        availability::may_be_recorded(world, *key, request).then_some((*key, incarnation(row)?))
     });
     instances.collect()
 }
--- a/crates/snipespan_core/src/entry/tables.rs
+++ b/crates/snipespan_core/src/entry/tables.rs
@@ -4,5 +4,6 @@
 pub mod attempts;
 pub mod backend_servers;
 pub mod data_centres;
+pub mod regions;
 pub mod report;
 pub mod requests;
--- a/crates/snipespan_core/src/entry/tables/data_centres.rs
+++ b/crates/snipespan_core/src/entry/tables/data_centres.rs
@@ -2,6 +2,8 @@
 
 use crate::configuration::ChangeError;
 use crate::configuration::name_list;
+use crate::entry::tables::regions::RegionIndex;
+use crate::entry::tables::regions::Regions;
 use crate::identity::DataCentre;
 use crate::keys::DataCentreKey;
 use crate::table::Entity;
@@ -19,6 +21,8 @@
     pub name: DataCentre,
     /// Whether a VM was listed in it since the process started, or the entry itself runs in it.
     pub was_listed: bool,
+    /// Its region; `None` if the settings do not name one.
+    pub region: Option<RegionIndex>,
     /// Whether operators have evacuated it: its backend servers get no new work.
     pub is_evacuated: bool,
 }
@@ -32,12 +36,14 @@
 pub struct DataCentres {
     /// Rows of the table; none is removed.
     pub rows: Table<DataCentreState>,
+    /// The regions that the settings name.
+    pub regions: Regions,
 }
 
 impl DataCentres {
     /// Creates the table with the data centre in which the entry itself runs.
-    pub fn new(own: &DataCentre) -> Self {
-        let mut data_centres = Self { rows: Table::new(MAX_DATA_CENTRES) };
+    pub fn new(own: &DataCentre, regions: Regions) -> Self {
+        let mut data_centres = Self { rows: Table::new(MAX_DATA_CENTRES), regions };
         // The table has room for the first row.
         if let Ok(key) = data_centres.find_or_insert(own) {
             data_centres.set_listed(key);
@@ -65,10 +71,20 @@
         if let Some(key) = self.find(name) {
             return Ok(key);
         }
-        let row = DataCentreState { name: name.clone(), was_listed: false, is_evacuated: false };
+        let row = DataCentreState {
+            name: name.clone(),
+            was_listed: false,
+            region: self.regions.of_data_centre(name),
+            is_evacuated: false,
+        };
         self.rows.insert(row)
     }
 
+    /// Returns the region of a data centre; `None` if it is not known.
+    pub fn region(&self, key: DataCentreKey) -> Option<RegionIndex> {
+        self.rows.get(key)?.region
+    }
+
     /// Returns whether a data centre is evacuated; one that is not in the table is not.
     pub fn is_evacuated(&self, key: DataCentreKey) -> bool {
         self.rows.get(key).is_some_and(|row| row.is_evacuated)
--- a/crates/snipespan_core/src/entry/tables/requests.rs
+++ b/crates/snipespan_core/src/entry/tables/requests.rs
@@ -12,6 +12,7 @@
 use crate::entry::event::Idempotency;
 use crate::entry::event::PREFIX_DIGESTS;
 use crate::entry::event::PrefixDigests;
+use crate::entry::tables::regions::HomeRegions;
 use crate::identity::Incarnation;
 use crate::identity::RequestId;
 use crate::identity::Target;
@@ -44,6 +45,8 @@
     pub priority: Priority,
     /// Model or plain service that it asks for; `None` until its body is read.
     pub target: Option<Target>,
+    /// Regions whose backend servers may get it: the home regions of its account and model.
+    pub homes: HomeRegions,
     /// Estimated cost in tokens.
     pub cost: Cost,
     /// Digests of the prefixes of its prompt.
@@ -112,6 +115,7 @@
             weight: 1,
             priority: Priority(0),
             target: None,
+            homes: HomeRegions::Any,
             cost: Cost::default(),
             prefix_digests: [0; PREFIX_DIGESTS],
             lifecycle: RequestLifecycle.state_machine(),
--- a/crates/snipespan_core/src/entry/world.rs
+++ b/crates/snipespan_core/src/entry/world.rs
@@ -13,6 +13,7 @@
 use crate::entry::tables::attempts::Attempt;
 use crate::entry::tables::backend_servers::BackendServers;
 use crate::entry::tables::data_centres::DataCentres;
+use crate::entry::tables::regions::Regions;
 use crate::entry::tables::report::Report;
 use crate::entry::tables::requests::Request;
 use crate::keys::AttemptKey;
@@ -54,6 +55,9 @@
     /// Requests that were refused at once because operators have evacuated the data centres of all
     /// their backend servers.
     pub refused_evacuated: u64,
+    /// Requests that were refused at once because none of their backend servers is in their home
+    /// regions.
+    pub refused_outside_home_regions: u64,
 }
 
 /// Progress of writing the operators' report to the store.
@@ -123,7 +127,7 @@
         let max_requests = settings.max_requests;
         let rng = SmallRng::seed_from_u64(settings.seed);
         let backend_servers = BackendServers::new(settings.max_backend_servers);
-        let data_centres = DataCentres::new(&settings.data_centre);
+        let data_centres = DataCentres::new(&settings.data_centre, Regions::new(&settings.regions));
         Self {
             settings,
             configuration: None,
--- a/crates/snipespan_core/tests/entry/kit.rs
+++ b/crates/snipespan_core/tests/entry/kit.rs
@@ -59,7 +59,11 @@
     }
 
     pub(crate) fn with_policy(routing: RoutingPolicy) -> Self {
-        let world = World::new(settings(routing));
+        Self::with_settings(settings(routing))
+    }
+
+    pub(crate) fn with_settings(settings: EntrySettings) -> Self {
+        let world = World::new(settings);
         let mut kit = Self { world, now: Timestamp::ZERO, recorded_ticks: Vec::new(), next_id: 0 };
         kit.tick(vec![Event::ConfigurationReceived(Box::new(configuration(1)))]);
         kit
@@ -139,6 +143,7 @@
 pub(crate) fn settings(routing: RoutingPolicy) -> EntrySettings {
     EntrySettings {
         data_centre: DataCentre("graz-1".into()),
+        regions: Vec::new(),
         routing,
         max_requests: MAX_REQUESTS,
         max_body_bytes: 10_000,
@@ -158,11 +163,13 @@
         weight: 1,
         max_open: 100,
         disabled: false,
+        home_regions: Vec::new(),
     };
     let model = ModelSpec {
         max_prompt_tokens: 1_000_000,
         max_output_tokens: 1_000,
         time_limit_ms: TIME_LIMIT.as_millis() as u64,
+        home_regions: Vec::new(),
     };
     let service = ServiceSpec { time_limit_ms: 30_000, repeatable_prefixes: Vec::new() };
     Configuration {
--- a/crates/snipespan_core/tests/entry/main.rs
+++ b/crates/snipespan_core/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod attempts;
 mod evacuation;
+mod home_regions;
 mod kit;
 mod membership;
 mod replay;
--- a/crates/snipespan_demo/src/commands/ticks.rs
+++ b/crates/snipespan_demo/src/commands/ticks.rs
@@ -109,6 +109,7 @@
     fn new(backend_servers: u64) -> Self {
         let settings = EntrySettings {
             data_centre: DataCentre("graz-1".into()),
+            regions: Vec::new(),
             routing: RoutingPolicy::EarliestFirstToken,
             max_requests: 100_000,
             max_body_bytes: 1 << 40,
@@ -225,11 +226,13 @@
         weight: 1,
         max_open: u32::MAX,
         disabled: false,
+        home_regions: Vec::new(),
     };
     let model = ModelSpec {
         max_prompt_tokens: 1_000_000,
         max_output_tokens: 4_096,
         time_limit_ms: 600_000,
+        home_regions: Vec::new(),
     };
     Configuration {
         revision: Revision(1),
--- a/crates/snipespan_demo/src/fleet.rs
+++ b/crates/snipespan_demo/src/fleet.rs
@@ -200,6 +200,7 @@
             weight: 1,
             max_open: 100_000,
             disabled: false,
+            home_regions: Vec::new(),
         };
         let service = v1::Service {
             name: SERVICE.to_owned(),
@@ -274,5 +275,6 @@
         max_prompt_tokens: 1_100_000,
         max_output_tokens: 4096,
         time_limit_ms: 600_000,
+        home_regions: Vec::new(),
     }
 }
--- a/crates/snipespan_settings/src/daemon.rs
+++ b/crates/snipespan_settings/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Settings of the `snipespand` process in its three roles.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -8,6 +9,7 @@
 use compact_str::CompactString;
 use snipespan_core::entry::settings::EntrySettings;
 use snipespan_core::entry::settings::RoutingPolicy;
+use snipespan_core::entry::tables::regions::MAX_REGIONS;
 use snipespan_core::identity::DataCentre;
 use snipespan_core::identity::Incarnation;
 use snipespan_core::identity::Target;
@@ -170,7 +172,8 @@
             gateway::read_gateway(ini, vm.clone(), data_centre.clone()).map(RoleSettings::Gateway)
         }
         None => {
-            let sections = ["platform", "tls", "operators", "entry", "side", "gateway"];
+            let sections =
+                ["platform", "tls", "operators", "data_centres", "entry", "side", "gateway"];
             sections.into_iter().for_each(|section| ini.skip_section(section));
             None
         }
@@ -230,11 +233,13 @@
     let placing_limit = ini.duration(section, "placing_limit", Duration::from_secs(5));
     let stop_grace = ini.duration(section, "stop_grace", Duration::from_secs(2));
     let operators = ini.named_values("operators", DIGEST_ALLOWED, is_sha256_hex);
+    let regions = read_regions(ini);
     if max_body_bytes < max_request_bytes {
         ini.reject_value(section, "max_body_bytes", "at least max_request_bytes");
     }
     let decision_settings = EntrySettings {
         data_centre: data_centre?,
+        regions,
         routing: routing.unwrap_or(RoutingPolicy::EarliestFirstToken),
         max_requests,
         max_body_bytes,
@@ -256,6 +261,17 @@
     })
 }
 
+/// Reads the section `[data_centres]`, `NAME = REGION` for each data centre.
+fn read_regions(ini: &mut IniFile) -> Vec<(DataCentre, CompactString)> {
+    let is_name = |text: &str| parse_name(text).is_some();
+    let regions = ini.named_values("data_centres", NAME_ALLOWED, is_name);
+    let names: BTreeSet<_> = regions.iter().map(|(_, region)| region).collect();
+    if names.len() > MAX_REGIONS {
+        ini.reject_value("data_centres", "NAME", "one of at most 64 different regions");
+    }
+    regions.into_iter().map(|(name, region)| (DataCentre(name), region)).collect()
+}
+
 fn read_side(ini: &mut IniFile) -> Option<SideRole> {
     let platform = read_platform(ini);
     let tls = read_tls(ini);
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -168,3 +168,19 @@
     let errors = load(&GATEWAY.replace(from, to)).expect_err("an error");
     assert!(errors.to_string().contains(message), "{errors}");
 }
+
+/// Guards against data centres that lose their regions, and against more regions than there is room
+/// for, whose data centres would be in no home region.
+#[test]
+fn load_entry_regions() {
+    let text = format!("{ENTRY}[data_centres]\ngraz-1 = north\ngraz-2 = north\n");
+    let RoleSettings::Entry(entry) = load(&text).expect("no errors").role else {
+        unreachable!("an entry")
+    };
+    assert_eq!(entry.decision_settings.regions.len(), 2);
+    let many: String = (0..65).map(|index| format!("dc-{index} = region-{index}\n")).collect();
+    let errors = load(&format!("{ENTRY}[data_centres]\n{many}")).expect_err("too many regions");
+    assert!(errors.to_string().contains("at most 64 different regions"), "{errors}");
+    let errors = load(&format!("{ENTRY}[data_centres]\ngraz-1 =\n")).expect_err("no region");
+    assert!(errors.to_string().contains("graz-1"), "{errors}");
+}
--- a/crates/snipespand/src/entry/operators/convert.rs
+++ b/crates/snipespand/src/entry/operators/convert.rs
@@ -30,6 +30,7 @@
                 max_prompt_tokens: model.max_prompt_tokens,
                 max_output_tokens: model.max_output_tokens,
                 time_limit_ms: model.time_limit_ms,
+                home_regions: model.home_regions.into_iter().map(Into::into).collect(),
             },
         ),
         ChangeMessage::RemoveModel(name) => Change::RemoveModel(name.into()),
@@ -63,6 +64,7 @@
         weight: account.weight,
         max_open: account.max_open,
         disabled: account.disabled,
+        home_regions: account.home_regions.into_iter().map(Into::into).collect(),
     })
 }
 
@@ -75,12 +77,14 @@
         weight: spec.weight,
         max_open: spec.max_open,
         disabled: spec.disabled,
+        home_regions: spec.home_regions.iter().map(ToString::to_string).collect(),
     });
     let models = configuration.models.iter().map(|(name, spec)| v1::Model {
         name: name.to_string(),
         max_prompt_tokens: spec.max_prompt_tokens,
         max_output_tokens: spec.max_output_tokens,
         time_limit_ms: spec.time_limit_ms,
+        home_regions: spec.home_regions.iter().map(ToString::to_string).collect(),
     });
     let services = configuration.services.iter().map(|(name, spec)| v1::Service {
         name: name.to_string(),
@@ -126,5 +130,6 @@
         backend_servers: view.backend_servers,
         connected: view.connected,
         open: view.open,
+        region: view.region.as_ref().map(ToString::to_string),
     }
 }
--- a/crates/snipespand/src/entry/shell.rs
+++ b/crates/snipespand/src/entry/shell.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use quinn::Connection;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
@@ -102,6 +103,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct DataCentreView {
     pub(super) name: DataCentre,
+    pub(super) region: Option<CompactString>,
     pub(super) is_evacuated: bool,
     pub(super) backend_servers: u32,
     /// Number of its backend servers that are connected and not leaving.
@@ -263,6 +265,7 @@
             let servers: Vec<_> = servers.filter(|server| server.data_centre == key).collect();
             DataCentreView {
                 name: row.name.clone(),
+                region: row.region.and_then(|r| self.world.data_centres.regions.name(r)).cloned(),
                 is_evacuated: row.is_evacuated,
                 backend_servers: servers.len() as u32,
                 connected: servers.iter().filter(|server| server.is_ready()).count() as u32,
@@ -299,6 +302,10 @@
             Metric::Counter("configurations.older", counters.older_configurations),
             Metric::Counter("backend_servers.left_out", counters.backend_servers_left_out),
             Metric::Counter("requests.refused_evacuated", counters.refused_evacuated),
+            Metric::Counter(
+                "requests.refused_outside_home_regions",
+                counters.refused_outside_home_regions,
+            ),
             Metric::Counter("data_centres.left_out", counters.data_centres_left_out),
             Metric::Gauge("data_centres.evacuated", Self::evacuated_count(world)),
             Metric::Gauge("requests.open", world.requests.len() as u64),
--- a/crates/snipespand/tests/it/harness.rs
+++ b/crates/snipespand/tests/it/harness.rs
@@ -289,6 +289,7 @@
         weight: 1,
         max_open: 10_000,
         disabled: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -299,6 +300,7 @@
         max_prompt_tokens: 1_100_000,
         max_output_tokens: 100_000,
         time_limit_ms: 120_000,
+        home_regions: Vec::new(),
     }
 }
 
--- a/crates/snipespand/tests/it/main.rs
+++ b/crates/snipespand/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod harness;
 mod history;
+mod home_regions;
 mod leaving;
 mod own_answer;
 mod path;
