Check of configurations for operators and entries

Cause: mistakes such as a home region without data centres, an account without keys or a shadowed route were seen only by failing requests.

Change: snipespan_core::configuration_check has pure checks over a view that the project's own configuration and a gateway's serving configuration fill in, and a comparison of two versions. 'snipespan configuration' also prints data centres with their regions. Value checks of a change moved to check_values of each spec, unchanged, so that the check uses them.

--- a/crates/snipespan/src/args.rs
+++ b/crates/snipespan/src/args.rs
@@ -18,6 +18,11 @@
   5  unknown whether the change took effect; check with `snipespan change show ID`
   6  the entry could not be reached; nothing was changed";
 
+const CHECK_EXIT_CODES: &str = "Exit codes:
+  0  no findings
+  1  findings
+  2  the arguments are invalid, or a file cannot be read or is not a configuration";
+
 /// Builds the command with all its subcommands.
 pub fn command() -> Command {
     Command::new("snipespan")
@@ -32,7 +37,7 @@
         .subcommand(service_command())
         .subcommand(backend_server_command())
         .subcommand(data_centre_command())
-        .subcommand(Command::new("configuration").about("Show the configuration in force"))
+        .subcommand(configuration_command())
         .subcommand(change_command())
         .subcommand(report_command())
         .subcommand(load_command())
@@ -248,6 +253,34 @@
         .subcommands([list, evacuate, restore])
 }
 
+fn configuration_command() -> Command {
+    let file = Arg::new("file")
+        .required(true)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Configuration as printed by `snipespan --output json configuration`");
+    let against = Arg::new("against")
+        .long("against")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Older version of the file; prints what differs from it, which is no finding");
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print JSON, as --output json does");
+    let serving = Arg::new("serving")
+        .long("serving")
+        .action(ArgAction::SetTrue)
+        .help("The files are serving configurations of the users' platform, for gateways");
+    let check = Command::new("check")
+        .about("Check a configuration file, without a connection")
+        .after_help(CHECK_EXIT_CODES)
+        .args([file, against, json, serving]);
+    Command::new("configuration")
+        .about("Show the configuration in force, or check one in a file")
+        .subcommand(check)
+}
+
 fn change_command() -> Command {
     let id = Arg::new("id").required(true).value_name("ID").help("Id of the change");
     let show = Command::new("show").about("Show whether a change took effect").arg(id);
--- a/crates/snipespan/src/commands.rs
+++ b/crates/snipespan/src/commands.rs
@@ -26,6 +26,12 @@
 
 /// Runs the subcommand that the arguments name, prints any error and returns the exit code.
 pub fn main(matches: &ArgMatches) -> ExitCode {
+    let format = Format::from_matches(matches);
+    if let Some(("configuration", matches)) = matches.subcommand()
+        && let Some(("check", matches)) = matches.subcommand()
+    {
+        return configuration::check::run(matches, format);
+    }
     match run(matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/snipespan/src/commands/configuration.rs
+++ b/crates/snipespan/src/commands/configuration.rs
@@ -1,5 +1,7 @@
 //! `snipespan configuration`: shows the configuration in force at the entry.
 
+pub mod check;
+
 use eyre::Result;
 use serde_json::Value;
 use serde_json::json;
@@ -16,6 +18,9 @@
 /// If the call fails.
 pub async fn run(connection: &mut Connection, format: Format) -> Result<()> {
     let configuration = connection.fetch_configuration().await?;
+    let data_centres = connection.list_data_centres().await?;
+    let data_centres: Vec<Value> =
+        data_centres.iter().map(|row| json!({"name": row.name, "region": row.region})).collect();
     let accounts: Vec<Value> = configuration.accounts.iter().map(account::to_json).collect();
     let models: Vec<Value> = configuration.models.iter().map(model::to_json).collect();
     let services: Vec<Value> = configuration.services.iter().map(service::to_json).collect();
@@ -34,6 +39,7 @@
         "services": services,
         "drained": configuration.drained,
         "evacuated": configuration.evacuated,
+        "data_centres": data_centres,
     });
     let titles = ["REVISION", "ACCOUNTS", "MODELS", "SERVICES", "DRAINED", "EVACUATED"];
     format.print(&value, &titles, &[row]);
--- a/crates/snipespan/src/lib.rs
+++ b/crates/snipespan/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod args;
 pub mod commands;
+pub mod configuration_file;
 pub mod connection;
 pub mod exit;
 pub mod output;
--- a/crates/snipespan/tests/cli.rs
+++ b/crates/snipespan/tests/cli.rs
@@ -157,3 +157,75 @@
     assert_eq!(again.status.code(), Some(3), "{again:?}");
     assert!(String::from_utf8_lossy(&again.stderr).contains("is not evacuated"), "{again:?}");
 }
+
+/// A file that the check accepts, with an account in JSON in place of `ACCOUNT`.
+const CHECKED_FILE: &str = r#"{"revision": 5, "accounts": [ACCOUNT], "models": [],
+    "services": [{"name": "orders", "time_limit_ms": 30000}],
+    "data_centres": [{"name": "graz-1", "region": "north"}]}"#;
+
+const CLEAN_ACCOUNT: &str = r#"{"name": "desk", "api_key_sha256":
+    ["abababababababababababababababababababababababababababababababab"],
+    "priority": 1, "weight": 1, "max_open": 5}"#;
+
+/// Guards against a check that needs a connection, an exit code that does not tell clean files,
+/// findings and unreadable files apart, and an error without its place.
+#[rstest::rstest]
+#[case::clean(CLEAN_ACCOUNT, 0, "findings: 0")]
+#[case::finding(
+    r#"{"name": "desk", "priority": 1, "weight": 1, "max_open": 5}"#,
+    1,
+    "never matches: account \"desk\""
+)]
+#[case::wrong_type(
+    r#"{"name": "desk", "priority": -1, "weight": 1, "max_open": 5}"#,
+    1,
+    "error: accounts[0].priority: must be a whole number from 0, of at most 8 bits, not -1"
+)]
+#[case::missing(
+    r#"{"name": "desk", "priority": 1, "max_open": 5}"#,
+    1,
+    "error: accounts[0].weight: is missing"
+)]
+#[case::unknown_field(
+    r#"{"name": "desk", "priority": 1, "weight": 1, "max_open": 5, "x": 1}"#,
+    1,
+    "error: accounts[0].x: unknown field"
+)]
+#[case::not_json("{", 2, "not a configuration")]
+#[tokio::test]
+async fn configuration_check(#[case] account: &str, #[case] code: i32, #[case] part: &str) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("configuration.json");
+    let text = CHECKED_FILE.replace("ACCOUNT", account);
+    std::fs::write(&path, text).expect("the file is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_snipespan"));
+    let output = command.args(["configuration", "check"]).arg(&path).output().await;
+    let output = output.expect("the command line runs");
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let text = [output.stdout, output.stderr].concat();
+    assert!(String::from_utf8_lossy(&text).contains(part), "{}", String::from_utf8_lossy(&text));
+}
+
+/// Guards against a configuration in force that its own check rejects, and against a comparison that
+/// does not show a change made since.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_check_against() {
+    let cli = Cli::start().await;
+    let [older, newer] = ["older.json", "newer.json"].map(|name| cli.fleet.folder().join(name));
+    let save = async |path: &std::path::Path| {
+        let printed = cli.json(&["configuration"]).await;
+        std::fs::write(path, printed.to_string()).expect("the file is written");
+    };
+    save(&older).await;
+    cli.json(&["service", "put", "late", "--time-limit-ms", "7"]).await;
+    while cli.json(&["configuration"]).await["revision"] != 5 {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    save(&newer).await;
+    let path = |path: &std::path::Path| path.display().to_string();
+    let args = ["configuration", "check", &path(&newer), "--against", &path(&older), "--json"];
+    let report = cli.json(&args).await;
+    assert_eq!(report["findings"].as_array().map(Vec::len), Some(0), "{report}");
+    assert_eq!(report["differences"][0]["change"], "added", "{report}");
+    assert_eq!(report["differences"][0]["place"], "service \"late\"", "{report}");
+}
--- a/crates/snipespan_core/src/configuration.rs
+++ b/crates/snipespan_core/src/configuration.rs
@@ -210,13 +210,12 @@
             }
             Change::RemoveAccount(name) => remove_key("account", &mut next.accounts, name)?,
             Change::PutModel(name, spec) => {
-                check_model(name, spec)?;
+                spec.check_values(name)?;
                 next.models.insert(name.clone(), spec.clone());
             }
             Change::RemoveModel(name) => remove_key("model", &mut next.models, name)?,
             Change::PutService(name, spec) => {
-                check_positive("time_limit_ms", name, spec.time_limit_ms)?;
-                check_name(name)?;
+                spec.check_values(name)?;
                 next.services.insert(name.clone(), spec.clone());
             }
             Change::RemoveService(name) => remove_key("service", &mut next.services, name)?,
@@ -246,14 +245,7 @@
     }
 
     fn check_account(&self, name: &CompactString, spec: &AccountSpec) -> Result<(), ChangeError> {
-        check_name(name)?;
-        check_positive("weight", name, u64::from(spec.weight))?;
-        check_positive("max_open", name, u64::from(spec.max_open))?;
-        check_home_regions(name, &spec.home_regions)?;
-        if spec.priority > LOWEST_PRIORITY {
-            let name = name.clone();
-            return Err(ChangeError::OutOfRange { field: "priority", name, allowed: "0 to 9" });
-        }
+        spec.check_values(name)?;
         let owner_of_key = self.accounts.iter().find(|(other, owner)| {
             *other != name && owner.credentials.iter().any(|c| spec.credentials.contains(c))
         });
@@ -277,12 +269,47 @@
     }
 }
 
-fn check_model(name: &CompactString, spec: &ModelSpec) -> Result<(), ChangeError> {
-    check_name(name)?;
-    check_positive("max_prompt_tokens", name, spec.max_prompt_tokens)?;
-    check_positive("max_output_tokens", name, spec.max_output_tokens)?;
-    check_home_regions(name, &spec.home_regions)?;
-    check_positive("time_limit_ms", name, spec.time_limit_ms)
+impl AccountSpec {
+    /// Checks the name and the values of an account.
+    ///
+    /// # Errors
+    /// [`ChangeError::OutOfRange`] with the first value that is not allowed.
+    pub fn check_values(&self, name: &CompactString) -> Result<(), ChangeError> {
+        check_name(name)?;
+        check_positive("weight", name, u64::from(self.weight))?;
+        check_positive("max_open", name, u64::from(self.max_open))?;
+        check_home_regions(name, &self.home_regions)?;
+        if self.priority > LOWEST_PRIORITY {
+            let name = name.clone();
+            return Err(ChangeError::OutOfRange { field: "priority", name, allowed: "0 to 9" });
+        }
+        Ok(())
+    }
+}
+
+impl ModelSpec {
+    /// Checks the name and the values of a model.
+    ///
+    /// # Errors
+    /// [`ChangeError::OutOfRange`] with the first value that is not allowed.
+    pub fn check_values(&self, name: &CompactString) -> Result<(), ChangeError> {
+        check_name(name)?;
+        check_positive("max_prompt_tokens", name, self.max_prompt_tokens)?;
+        check_positive("max_output_tokens", name, self.max_output_tokens)?;
+        check_home_regions(name, &self.home_regions)?;
+        check_positive("time_limit_ms", name, self.time_limit_ms)
+    }
+}
+
+impl ServiceSpec {
+    /// Checks the name and the values of a plain service.
+    ///
+    /// # Errors
+    /// [`ChangeError::OutOfRange`] with the first value that is not allowed.
+    pub fn check_values(&self, name: &CompactString) -> Result<(), ChangeError> {
+        check_positive("time_limit_ms", name, self.time_limit_ms)?;
+        check_name(name)
+    }
 }
 
 fn check_name(name: &CompactString) -> Result<(), ChangeError> {
--- a/crates/snipespan_core/src/entry/decision.rs
+++ b/crates/snipespan_core/src/entry/decision.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use crate::configuration::Revision;
+use crate::configuration_check::finding::Finding;
 use crate::entry::systems::availability::ObstacleCounts;
 use crate::entry::systems::availability::SendObstacle;
 use crate::identity::DataCentre;
@@ -30,6 +31,14 @@
         /// The configuration that was applied.
         revision: Revision,
     },
+    /// A check found something in the configuration in force.
+    #[display("configuration={revision} {finding}; configuration finding")]
+    ConfigurationFinding {
+        /// The configuration.
+        revision: Revision,
+        /// What was found.
+        finding: Finding,
+    },
     /// Operators have evacuated a data centre.
     #[display(
         "data_centre={name:?} backend_servers={backend_servers} configuration={revision}; \
--- a/crates/snipespan_core/src/entry/systems.rs
+++ b/crates/snipespan_core/src/entry/systems.rs
@@ -3,6 +3,7 @@
 pub mod arrivals;
 pub mod attempts;
 pub mod availability;
+pub mod checking;
 pub mod configuration;
 pub mod ending;
 pub mod expiry;
--- a/crates/snipespan_core/src/entry/systems/configuration.rs
+++ b/crates/snipespan_core/src/entry/systems/configuration.rs
@@ -25,6 +25,7 @@
     }
     world.accounts.replace(&received.accounts);
     world.configuration = Some(received.clone());
+    world.is_check_due = true;
     world.process.handle(&ProcessEvent::Prepared);
     for (_, row) in world.backend_servers.rows.iter_mut() {
         row.is_drained = received.drained.contains(&row.vm.id);
--- a/crates/snipespan_core/src/entry/systems/membership.rs
+++ b/crates/snipespan_core/src/entry/systems/membership.rs
@@ -51,6 +51,8 @@
 }
 
 fn apply_vm_list(world: &mut World, now: Timestamp, vms: &[Vm], effects: &mut Vec<Effect>) {
+    // With the first list the regions of the data centres can be checked as well.
+    world.is_check_due |= !world.has_vm_list;
     world.has_vm_list = true;
     let listed: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.id).collect();
     for vm in vms {
--- a/crates/snipespan_core/src/entry/tables/backend_servers.rs
+++ b/crates/snipespan_core/src/entry/tables/backend_servers.rs
@@ -254,6 +254,11 @@
         self.by_target.get(target).map_or(&[], Vec::as_slice)
     }
 
+    /// Iterates over the models and plain services that a backend server serves.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.by_target.keys()
+    }
+
     /// Adds the backend server of a VM and returns its key; `None` if the table is full.
     pub fn add(&mut self, vm: Vm, data_centre: DataCentreKey) -> Option<BackendServerKey> {
         let id = vm.id.clone();
--- a/crates/snipespan_core/src/entry/tick.rs
+++ b/crates/snipespan_core/src/entry/tick.rs
@@ -4,6 +4,7 @@
 use crate::entry::event::Event;
 use crate::entry::systems::arrivals;
 use crate::entry::systems::attempts;
+use crate::entry::systems::checking;
 use crate::entry::systems::configuration;
 use crate::entry::systems::expiry;
 use crate::entry::systems::membership;
@@ -28,6 +29,7 @@
     let mut effects = Vec::new();
     configuration::run(world, events, &mut effects);
     let connect_at = membership::run(world, now, events, &mut effects);
+    checking::run(world, &mut effects);
     arrivals::run(world, now, events, &mut effects);
     records::run(world, now, events, &mut effects);
     attempts::run(world, now, events, &mut effects);
--- a/crates/snipespan_core/src/entry/world.rs
+++ b/crates/snipespan_core/src/entry/world.rs
@@ -8,6 +8,7 @@
 use statig::blocking::StateMachine;
 
 use crate::configuration::Configuration;
+use crate::configuration_check::finding::Finding;
 use crate::entry::settings::EntrySettings;
 use crate::entry::tables::accounts::Accounts;
 use crate::entry::tables::attempts::Attempt;
@@ -79,6 +80,10 @@
     pub settings: EntrySettings,
     /// The configuration in force; `None` until one was received.
     pub configuration: Option<Configuration>,
+    /// Whether the configuration is to be checked in this tick.
+    pub is_check_due: bool,
+    /// What the latest check of the configuration found, in ascending order.
+    pub findings: Vec<Finding>,
     /// Lifecycle of the process.
     pub process: StateMachine<ProcessLifecycle>,
     /// Readiness for callers, as last published.
@@ -131,6 +136,8 @@
         Self {
             settings,
             configuration: None,
+            is_check_due: false,
+            findings: Vec::new(),
             process: ProcessLifecycle.state_machine(),
             is_ready: false,
             refuse_from: None,
--- a/crates/snipespan_core/src/lib.rs
+++ b/crates/snipespan_core/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod attempt;
 pub mod configuration;
+pub mod configuration_check;
 pub mod cost;
 pub mod entry;
 pub mod gateway;
--- a/crates/snipespan_core/tests/entry/home_regions.rs
+++ b/crates/snipespan_core/tests/entry/home_regions.rs
@@ -91,3 +91,25 @@
     let listed: Vec<_> = listed.unwrap().into_iter().map(|instance| instance.vm).collect();
     assert_eq!(listed, [vm(1).id]);
 }
+
+/// A configuration that is put in force must be checked with the regions that the entry knows, and a
+/// finding must be logged once, not again with each revision.
+#[test]
+fn check_configuration_in_force() {
+    let mut kit = start(&Target::Model("drafts".into()), &[], &[]);
+    let logged = |effects: Vec<Effect>| {
+        let decisions = effects.into_iter().filter_map(|effect| match effect {
+            Effect::LogDecision(decision) => Some(decision.to_string()),
+            _ => None,
+        });
+        decisions.collect::<Vec<_>>()
+    };
+    let mut in_east = configuration(3);
+    in_east.models.get_mut("drafts").expect("the model exists").home_regions = vec!["east".into()];
+    let lines = logged(kit.tick(vec![Event::ConfigurationReceived(Box::new(in_east.clone()))]));
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("configuration=3 contradiction: model \"drafts\""), "{lines:?}");
+    in_east.revision = 4.into();
+    let lines = logged(kit.tick(vec![Event::ConfigurationReceived(Box::new(in_east))]));
+    assert!(lines.is_empty(), "{lines:?}");
+}
