--- a/crates/snipespan/src/args.rs
+++ b/crates/snipespan/src/args.rs
@@ -18,6 +18,11 @@
   5  unknown whether the change took effect; check with `snipespan change show ID`
   6  the entry could not be reached; nothing was changed";
 
+const CHECK_EXIT_CODES: &str = "Exit codes:
+  0  no findings
+  1  findings
+  2  the arguments are invalid, or a file cannot be read or is not a configuration";
+
 /// Builds the command with all its subcommands.
 pub fn command() -> Command {
     Command::new("snipespan")
@@ -31,7 +36,8 @@
         .subcommand(model_command())
         .subcommand(service_command())
         .subcommand(backend_server_command())
-        .subcommand(Command::new("configuration").about("Show the configuration in force"))
+        .subcommand(data_centre_command())
+        .subcommand(configuration_command())
         .subcommand(change_command())
         .subcommand(report_command())
         .subcommand(load_command())
@@ -102,6 +108,15 @@
     arg.value_parser(value_parser!(u64)).default_value(default)
 }
 
+/// Builds the repeatable option `--home-region`.
+fn home_region_arg() -> Arg {
+    let arg = Arg::new("home-region").long("home-region").value_name("REGION");
+    arg.action(ArgAction::Append).help(
+        "Region whose backend servers may get the requests. May be given more than once \
+         [default: all regions]",
+    )
+}
+
 fn account_command() -> Command {
     let api_key_file = Arg::new("api-key-file")
         .long("api-key-file")
@@ -131,6 +146,7 @@
             "Maximum number of open requests at one entry, at least 1",
         ))
         .arg(disabled)
+        .arg(home_region_arg())
         .args(change_args());
     let remove = Command::new("remove")
         .about("Remove a client account")
@@ -162,6 +178,7 @@
             "600000",
             "Maximum and default time for a request in ms, at least 1",
         ))
+        .arg(home_region_arg())
         .args(change_args());
     let remove = Command::new("remove")
         .about("Remove a model")
@@ -220,6 +237,50 @@
         .subcommands([list, drain, undrain])
 }
 
+fn data_centre_command() -> Command {
+    let list = Command::new("list").about("List the data centres as known to the entry");
+    let evacuate = Command::new("evacuate")
+        .about("Stop sending new work to all backend servers of a data centre")
+        .arg(name_arg("Name of the data centre, as in `data-centre list`"))
+        .args(change_args());
+    let restore = Command::new("restore")
+        .about("Resume sending new work to an evacuated data centre")
+        .arg(name_arg("Name of the data centre"))
+        .args(change_args());
+    Command::new("data-centre")
+        .about("List, evacuate and restore data centres")
+        .subcommand_required(true)
+        .subcommands([list, evacuate, restore])
+}
+
+fn configuration_command() -> Command {
+    let file = Arg::new("file")
+        .required(true)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Configuration as printed by `snipespan --output json configuration`");
+    let against = Arg::new("against")
+        .long("against")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Older version of the file; prints what differs from it, which is no finding");
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print JSON, as --output json does");
+    let serving = Arg::new("serving")
+        .long("serving")
+        .action(ArgAction::SetTrue)
+        .help("The files are serving configurations of the users' platform, for gateways");
+    let check = Command::new("check")
+        .about("Check a configuration file, without a connection")
+        .after_help(CHECK_EXIT_CODES)
+        .args([file, against, json, serving]);
+    Command::new("configuration")
+        .about("Show the configuration in force, or check one in a file")
+        .subcommand(check)
+}
+
 fn change_command() -> Command {
     let id = Arg::new("id").required(true).value_name("ID").help("Id of the change");
     let show = Command::new("show").about("Show whether a change took effect").arg(id);
--- a/crates/snipespan/src/commands.rs
+++ b/crates/snipespan/src/commands.rs
@@ -5,6 +5,7 @@
 pub mod change;
 pub mod completions;
 pub mod configuration;
+pub mod data_centre;
 pub mod load;
 pub mod model;
 pub mod report;
@@ -25,6 +26,12 @@
 
 /// Runs the subcommand that the arguments name, prints any error and returns the exit code.
 pub fn main(matches: &ArgMatches) -> ExitCode {
+    let format = Format::from_matches(matches);
+    if let Some(("configuration", matches)) = matches.subcommand()
+        && let Some(("check", matches)) = matches.subcommand()
+    {
+        return configuration::check::run(matches, format);
+    }
     match run(matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -57,6 +64,7 @@
         Some(("backend-server", matches)) => {
             backend_server::run(&mut connection, matches, format).await
         }
+        Some(("data-centre", matches)) => data_centre::run(&mut connection, matches, format).await,
         Some(("configuration", _)) => configuration::run(&mut connection, format).await,
         Some(("change", matches)) => change::run(&mut connection, matches, format).await,
         Some(("report", matches)) => report::run(&mut connection, matches, format).await,
@@ -83,6 +91,11 @@
     matches.get_one::<u64>(id).copied().unwrap_or_default()
 }
 
+/// Returns the values of the option `--home-region`.
+fn get_home_regions(matches: &ArgMatches) -> Vec<String> {
+    matches.get_many::<String>("home-region").unwrap_or_default().cloned().collect()
+}
+
 /// Returns the value of a text argument, which is required or has a default.
 fn get_text(matches: &ArgMatches, id: &str) -> String {
     matches.get_one::<String>(id).cloned().unwrap_or_default()
--- a/crates/snipespan_core/src/entry/systems.rs
+++ b/crates/snipespan_core/src/entry/systems.rs
@@ -2,6 +2,8 @@
 
 pub mod arrivals;
 pub mod attempts;
+pub mod availability;
+pub mod checking;
 pub mod configuration;
 pub mod ending;
 pub mod expiry;
--- a/crates/snipespan_core/src/entry/world.rs
+++ b/crates/snipespan_core/src/entry/world.rs
@@ -8,10 +8,13 @@
 use statig::blocking::StateMachine;
 
 use crate::configuration::Configuration;
+use crate::configuration_check::finding::Finding;
 use crate::entry::settings::EntrySettings;
 use crate::entry::tables::accounts::Accounts;
 use crate::entry::tables::attempts::Attempt;
 use crate::entry::tables::backend_servers::BackendServers;
+use crate::entry::tables::data_centres::DataCentres;
+use crate::entry::tables::regions::Regions;
 use crate::entry::tables::report::Report;
 use crate::entry::tables::requests::Request;
 use crate::keys::AttemptKey;
@@ -48,6 +51,14 @@
     pub older_configurations: u64,
     /// VMs that were skipped because the table of backend servers was full.
     pub backend_servers_left_out: u64,
+    /// Evacuated data centres that were skipped because the table of data centres was full.
+    pub data_centres_left_out: u64,
+    /// Requests that were refused at once because operators have evacuated the data centres of all
+    /// their backend servers.
+    pub refused_evacuated: u64,
+    /// Requests that were refused at once because none of their backend servers is in their home
+    /// regions.
+    pub refused_outside_home_regions: u64,
 }
 
 /// Progress of writing the operators' report to the store.
@@ -69,6 +80,10 @@
     pub settings: EntrySettings,
     /// The configuration in force; `None` until one was received.
     pub configuration: Option<Configuration>,
+    /// Whether the configuration is to be checked in this tick.
+    pub is_check_due: bool,
+    /// What the latest check of the configuration found, in ascending order.
+    pub findings: Vec<Finding>,
     /// Lifecycle of the process.
     pub process: StateMachine<ProcessLifecycle>,
     /// Readiness for callers, as last published.
@@ -81,6 +96,10 @@
     pub accounts: Accounts,
     /// Known backend servers.
     pub backend_servers: BackendServers,
+    /// Known data centres.
+    pub data_centres: DataCentres,
+    /// Whether the platform's list of VMs was read since the process started.
+    pub has_vm_list: bool,
     /// Open requests.
     pub requests: Table<Request>,
     /// Open attempts.
@@ -113,15 +132,20 @@
         let max_requests = settings.max_requests;
         let rng = SmallRng::seed_from_u64(settings.seed);
         let backend_servers = BackendServers::new(settings.max_backend_servers);
+        let data_centres = DataCentres::new(&settings.data_centre, Regions::new(&settings.regions));
         Self {
             settings,
             configuration: None,
+            is_check_due: false,
+            findings: Vec::new(),
             process: ProcessLifecycle.state_machine(),
             is_ready: false,
             refuse_from: None,
             idle_since: None,
             accounts: Accounts::default(),
             backend_servers,
+            data_centres,
+            has_vm_list: false,
             requests: Table::new(max_requests),
             attempts: Table::<Attempt>::new(max_requests),
             deadlines: BTreeSet::new(),
--- a/crates/snipespan_core/tests/entry/main.rs
+++ b/crates/snipespan_core/tests/entry/main.rs
@@ -3,6 +3,8 @@
 
 mod arrivals;
 mod attempts;
+mod evacuation;
+mod home_regions;
 mod kit;
 mod membership;
 mod replay;
--- a/crates/snipespand/src/entry/operators/convert.rs
+++ b/crates/snipespand/src/entry/operators/convert.rs
@@ -9,10 +9,12 @@
 use snipespan_core::configuration::Priority;
 use snipespan_core::configuration::ServiceSpec;
 use snipespan_core::identity::CredentialDigest;
+use snipespan_core::identity::DataCentre;
 use snipespan_core::identity::VmId;
 use snipespan_core::lifecycle::backend_server::State;
 
 use crate::entry::shell::BackendServerView;
+use crate::entry::shell::DataCentreView;
 
 /// Converts a requested change; the error says which field is invalid.
 pub(super) fn change_from_message(message: ChangeMessage) -> Result<Change, String> {
@@ -28,6 +30,7 @@
                 max_prompt_tokens: model.max_prompt_tokens,
                 max_output_tokens: model.max_output_tokens,
                 time_limit_ms: model.time_limit_ms,
+                home_regions: model.home_regions.into_iter().map(Into::into).collect(),
             },
         ),
         ChangeMessage::RemoveModel(name) => Change::RemoveModel(name.into()),
@@ -40,6 +43,8 @@
         ChangeMessage::RemoveService(name) => Change::RemoveService(name.into()),
         ChangeMessage::Drain(vm) => Change::Drain(VmId(vm.into())),
         ChangeMessage::Undrain(vm) => Change::Undrain(VmId(vm.into())),
+        ChangeMessage::Evacuate(name) => Change::Evacuate(DataCentre(name.into())),
+        ChangeMessage::Restore(name) => Change::Restore(DataCentre(name.into())),
     })
 }
 
@@ -59,6 +64,7 @@
         weight: account.weight,
         max_open: account.max_open,
         disabled: account.disabled,
+        home_regions: account.home_regions.into_iter().map(Into::into).collect(),
     })
 }
 
@@ -71,12 +77,14 @@
         weight: spec.weight,
         max_open: spec.max_open,
         disabled: spec.disabled,
+        home_regions: spec.home_regions.iter().map(ToString::to_string).collect(),
     });
     let models = configuration.models.iter().map(|(name, spec)| v1::Model {
         name: name.to_string(),
         max_prompt_tokens: spec.max_prompt_tokens,
         max_output_tokens: spec.max_output_tokens,
         time_limit_ms: spec.time_limit_ms,
+        home_regions: spec.home_regions.iter().map(ToString::to_string).collect(),
     });
     let services = configuration.services.iter().map(|(name, spec)| v1::Service {
         name: name.to_string(),
@@ -89,6 +97,7 @@
         models: models.collect(),
         services: services.collect(),
         drained: configuration.drained.iter().map(ToString::to_string).collect(),
+        evacuated: configuration.evacuated.iter().map(ToString::to_string).collect(),
     }
 }
 
@@ -112,3 +121,15 @@
         drained: view.is_drained,
     }
 }
+
+/// Converts a data centre to the message for operators.
+pub(super) fn data_centre_message(view: &DataCentreView) -> v1::DataCentre {
+    v1::DataCentre {
+        name: view.name.to_string(),
+        evacuated: view.is_evacuated,
+        backend_servers: view.backend_servers,
+        connected: view.connected,
+        open: view.open,
+        region: view.region.as_ref().map(ToString::to_string),
+    }
+}
--- a/crates/snipespand/tests/it/harness.rs
+++ b/crates/snipespand/tests/it/harness.rs
@@ -171,10 +171,21 @@
 
     /// Adds a VM to the VM list of the platform, or replaces its row.
     pub(crate) fn list_vm(&mut self, id: &str, address: &str, state: platform_v1::VmState) {
+        self.list_vm_in("graz-1", id, address, state);
+    }
+
+    /// Adds a VM of a data centre to the VM list of the platform, or replaces its row.
+    pub(crate) fn list_vm_in(
+        &mut self,
+        data_centre: &str,
+        id: &str,
+        address: &str,
+        state: platform_v1::VmState,
+    ) {
         self.vms.retain(|vm| vm.id != id);
         self.vms.push(platform_v1::Vm {
             id: id.to_owned(),
-            data_centre: "graz-1".to_owned(),
+            data_centre: data_centre.to_owned(),
             side_address: address.to_owned(),
             state: state.into(),
         });
@@ -278,6 +289,7 @@
         weight: 1,
         max_open: 10_000,
         disabled: false,
+        home_regions: Vec::new(),
     }
 }
 
@@ -288,6 +300,7 @@
         max_prompt_tokens: 1_100_000,
         max_output_tokens: 100_000,
         time_limit_ms: 120_000,
+        home_regions: Vec::new(),
     }
 }
 
