Gateway: a budget for the memory of bodies and answers

Cause: each body was collected in memory before its request was admitted, without a bound on their sum. Each frame of a body also kept the whole read buffer that it was received in, so that 400 MiB of bodies took 826,000 KiB. A complete answer no longer counted once it was handed to the HTTP library.

Change: the setting memory_limit bounds bodies, heads and answers to a share of the process's memory. A pure table (tables/memory_budget.rs) decides who gets memory, who waits and who is refused; leases count it until the bytes are dropped. Frames are copied out of the read buffers at once. A body whose sender stalls, and a streamed answer whose client does not read, are ended. A refused body is discarded, so that its sender sees the refusal.

The template's test knows the new field of the template; the fake backend server takes bodies of over 2 MiB, as the platform's do.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -10,6 +10,7 @@
 use crate::gateway::event::NotRunReason;
 use crate::gateway::serving::ServingVersion;
 use crate::gateway::systems::deferral::Deferral;
+use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::prompt_parts::PromptPart;
 use crate::result_code::ResultCode;
 
@@ -50,6 +51,24 @@
         /// Time since the store last answered; `None` if it never did.
         store_age: Option<Duration>,
     },
+    /// A request was refused before its body was read, as there was no memory for that.
+    BodyRefused {
+        /// The request.
+        id: CompactString,
+        /// Why there was none.
+        refusal: BodyRefusal,
+        /// Bytes that the body asked for.
+        bytes: u64,
+        /// Time since its head was received.
+        waited: Duration,
+    },
+    /// A streamed answer ended incomplete, as its client did not read it.
+    AnswerUnread {
+        /// The request.
+        id: CompactString,
+        /// Time for which the client has read nothing.
+        waited: Duration,
+    },
     /// A request was sent to a backend server.
     Placed {
         /// The request.
--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -10,6 +10,7 @@
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::serving::ServingVersion;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::prompt_parts::PromptPart;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::WorkDemand;
@@ -33,6 +34,24 @@
         /// The request.
         request: RequestKey,
     },
+    /// A request was refused, as there was no memory for its body.
+    BodyRefused {
+        /// Id that the client gave the request.
+        id: CompactString,
+        /// Why there was none.
+        refusal: BodyRefusal,
+        /// Bytes that the body asked for.
+        bytes: u64,
+        /// Time since its head was received.
+        waited: Duration,
+    },
+    /// The client has read nothing of a streamed answer for too long, and its connection is closed.
+    AnswerUnread {
+        /// The request.
+        request: RequestKey,
+        /// Time for which the client has read nothing.
+        waited: Duration,
+    },
     /// An attempt did not run and will not run.
     AttemptNotRun {
         /// The attempt.
--- a/crates/snipespan_core/src/gateway/settings.rs
+++ b/crates/snipespan_core/src/gateway/settings.rs
@@ -24,6 +24,8 @@
     pub stop_limit: Duration,
     /// Maximum time for which engine memory is reserved without renewal.
     pub max_reservation_ttl: Duration,
+    /// Maximum memory of the process in bytes; `None` without a limit. It is read at the start.
+    pub memory_limit: Option<u64>,
     /// Seed of the random number generator.
     pub seed: u64,
 }
--- a/crates/snipespan_core/src/gateway/systems/arrivals.rs
+++ b/crates/snipespan_core/src/gateway/systems/arrivals.rs
@@ -60,6 +60,19 @@
             Event::CallerDisconnected { request } => {
                 ending::finish_request(world, now, *request, ResultCode::CallerGone, effects);
             }
+            Event::BodyRefused { id, refusal, bytes, waited } => {
+                world.counters.bodies_refused += 1;
+                world.counters.not_run += 1;
+                effects.push(Effect::LogDecision(Box::new(Decision::BodyRefused {
+                    id: id.clone(),
+                    refusal: *refusal,
+                    bytes: *bytes,
+                    waited: *waited,
+                })));
+            }
+            Event::AnswerUnread { request, waited } => {
+                end_unread(world, now, *request, *waited, effects);
+            }
             Event::ServingReceived { .. } => is_for_all = true,
             _ => {}
         }
@@ -67,6 +80,20 @@
     retry_unrouted(world, now, is_for_all, effects)
 }
 
+fn end_unread(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    waited: Duration,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(row) = world.requests.get(key) else { return };
+    world.counters.answers_unread += 1;
+    let id = row.id.clone();
+    effects.push(Effect::LogDecision(Box::new(Decision::AnswerUnread { id, waited })));
+    ending::finish_request(world, now, key, ResultCode::CallerGone, effects);
+}
+
 /// Handles the requests that wait for a configuration again, those whose wait is over or all;
 /// returns when the next wait ends.
 fn retry_unrouted(
--- a/crates/snipespan_core/src/gateway/tables.rs
+++ b/crates/snipespan_core/src/gateway/tables.rs
@@ -2,6 +2,7 @@
 
 pub mod backend_servers;
 pub mod data_centres;
+pub mod memory_budget;
 pub mod peers;
 pub mod prompt_parts;
 pub mod requests;
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -123,6 +123,10 @@
     pub spans: u64,
     /// Requests that were not sent because a part of their prompt is blocked.
     pub prompt_parts_blocked: u64,
+    /// Requests that were refused because there was no memory for their body.
+    pub bodies_refused: u64,
+    /// Streamed answers that ended because their client did not read them.
+    pub answers_unread: u64,
 }
 
 /// Control state of a gateway.
--- a/crates/snipespan_core/src/keys.rs
+++ b/crates/snipespan_core/src/keys.rs
@@ -11,6 +11,8 @@
     pub struct AttemptKey;
     /// Key of a backend server in the table of an entry or a gateway.
     pub struct BackendServerKey;
+    /// Key of a request body that waits for memory in a gateway.
+    pub struct BodyKey;
     /// Key of the traffic task of one caller's request in an entry or a gateway.
     pub struct CallerKey;
     /// Key of an entry's connection to a side process.
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod feeds;
 mod kit;
 mod membership;
+mod memory_budget;
 mod pauses;
 mod peers;
 mod placing;
--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -13,6 +13,7 @@
 use axum::body::Body;
 use axum::body::Bytes;
 use axum::extract::ConnectInfo;
+use axum::extract::DefaultBodyLimit;
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::HeaderMap;
@@ -194,6 +195,8 @@
             .route("/snipespan/order", post(handle_order))
             .fallback(handle_request)
             .layer(middleware::from_fn_with_state(Arc::clone(&shared), add_notice))
+            // The platform's limit of a body is 4 MiB, above the default of the HTTP library.
+            .layer(DefaultBodyLimit::disable())
             .with_state(Arc::clone(&shared));
         let server = Server::start(router, address).await?;
         Ok(Self { shared, server })
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -8,10 +8,13 @@
 use snipespan_core::gateway::settings::GatewaySettings;
 
 use crate::ini_file::IniFile;
+use crate::units::parse_memory;
 
 const ADDRESS_ALLOWED: &str = "an IP address and a port (such as 10.0.0.7:8443; port 0 lets the \
     system choose)";
 const SEEDS_ALLOWED: &str = "IP addresses with or without ports, separated by commas";
+const MEMORY_ALLOWED: &str = "a whole number of bytes above 0, or with a unit: B, KB, MB, GB, KiB, \
+    MiB, GiB (such as 260MB)";
 const NON_NEGATIVE_ALLOWED: &str = "a number of at least 0";
 
 /// Settings of the gateway role.
@@ -67,6 +70,7 @@
     let retry_window = ini.duration_or_zero(section, "retry_window", Duration::from_secs(10));
     let stop_limit = ini.duration_or_zero(section, "stop_limit", Duration::from_secs(8));
     let max_reservation_ttl = ini.duration_or_zero(section, "max_hold", Duration::from_secs(20));
+    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, parse_memory);
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -76,6 +80,7 @@
         retry_window,
         stop_limit,
         max_reservation_ttl,
+        memory_limit,
         seed: 0,
     };
     Some(GatewayRole {
--- a/crates/snipespan_settings/src/units.rs
+++ b/crates/snipespan_settings/src/units.rs
@@ -17,6 +17,9 @@
 const SECONDS_PER_UNIT: [(&str, f64); 5] =
     [("us", 1e-6), ("ms", 1e-3), ("s", 1.0), ("m", 60.0), ("h", 3600.0)];
 
+/// Greatest whole number up to which `f64` is exact, 2^53.
+const MAX_EXACT_INTEGER: f64 = 9_007_199_254_740_992.0;
+
 /// Parses a duration, whose number may be a fraction; `None` if the unit is missing or unknown, the
 /// number is negative or not finite, or the duration in seconds does not fit in 64 bits.
 pub fn parse_duration(text: &str) -> Option<Duration> {
@@ -65,3 +68,25 @@
     let (number, unit) = text.split_at(unit_start);
     Some((number.parse().ok()?, unit.trim_start()))
 }
+
+/// Parses a size of memory above 0 and returns it in bytes. The unit may be absent, or decimal as
+/// platforms state such limits, and the number with a unit may be a fraction.
+pub fn parse_memory(text: &str) -> Option<u64> {
+    let unit_start = text.find(|c: char| c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(unit_start);
+    let bytes_per_unit = match unit {
+        "" | "B" => 1.0,
+        "KB" => 1e3,
+        "MB" => 1e6,
+        "GB" => 1e9,
+        "KiB" => 1024.0,
+        "MiB" => 1024.0 * 1024.0,
+        "GiB" => 1024.0 * 1024.0 * 1024.0,
+        _ => return None,
+    };
+    let number: f64 = number.trim_end().parse().ok()?;
+    let bytes = number * bytes_per_unit;
+    // Numbers above this are not exact, and no machine has as much memory.
+    let is_valid = (1.0..=MAX_EXACT_INTEGER).contains(&bytes) && bytes.fract() == 0.0;
+    is_valid.then_some(bytes as u64)
+}
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -163,6 +163,11 @@
 #[case::feed_wait("retry_ratio = 0.2", "feed_wait = 0s", "[gateway] feed_wait")]
 #[case::stop_limit("retry_ratio = 0.2", "stop_limit = -1s", "[gateway] stop_limit")]
 #[case::seed("seeds = 10.0.0.1:8229,", "seeds = nowhere,", "[gateway] seeds")]
+#[case::memory_zero("retry_ratio = 0.2", "memory_limit = 0MB", "[gateway] memory_limit")]
+#[case::memory_negative("retry_ratio = 0.2", "memory_limit = -1", "[gateway] memory_limit")]
+#[case::memory_huge("retry_ratio = 0.2", "memory_limit = 1e30MB", "[gateway] memory_limit")]
+#[case::memory_unit("retry_ratio = 0.2", "memory_limit = 260mb", "[gateway] memory_limit")]
+#[case::memory_no_number("retry_ratio = 0.2", "memory_limit = NaN", "[gateway] memory_limit")]
 #[case::unknown_key("retry_ratio", "retry_rate", "[gateway] retry_rate: unknown key")]
 fn load_gateway_error(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
     let errors = load(&GATEWAY.replace(from, to)).expect_err("an error");
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -1,11 +1,13 @@
 //! The gateway role: forwards clients' requests directly to backend servers of the users' platform.
 
 mod answer;
-mod answer_budget;
+mod body;
+mod client_stream;
 mod clients;
 mod decisions;
 pub mod events;
 mod exchange;
+mod memory;
 mod metrics;
 mod peers;
 mod ready;
@@ -35,7 +37,7 @@
 
 use crate::clock::Clock;
 use crate::control;
-use crate::gateway::answer_budget::AnswerBudget;
+use crate::gateway::memory::Memory;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::EncodedServing;
 use crate::gateway::peers::PeerLink;
@@ -52,6 +54,11 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// Time for which a streamed answer is not read from its backend server because its client does not
+/// read. It is shorter than the silence from which an attempt counts as stalled (1.6 s), which would
+/// move it to another engine, and than the seconds after which a backend server cuts the answer.
+const UNREAD_LIMIT: Duration = Duration::from_millis(1500);
+
 /// How the HTTP server for clients treats its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionPolicy {
@@ -75,12 +82,22 @@
     readiness: watch::Receiver<bool>,
     /// The newest serving configuration, which peers can fetch.
     encoded_serving: watch::Sender<EncodedServing>,
-    /// Memory for incomplete answers.
-    answer_budget: AnswerBudget,
+    /// Memory for bodies and answers.
+    memory: Memory,
     /// Tasks of clients' connections and requests, which a planned stop waits for.
     tasks: TaskTracker,
 }
 
+impl GatewayContext {
+    /// Returns for how long an answer waits for its client to read, or for memory.
+    fn unread_limit(&self) -> Duration {
+        match self.memory.is_limited() {
+            true => UNREAD_LIMIT,
+            false => Duration::MAX,
+        }
+    }
+}
+
 /// Runs a gateway until a planned stop is complete.
 ///
 /// # Errors
@@ -108,7 +125,7 @@
         connection_policy: connection_policy_rx,
         readiness,
         encoded_serving,
-        answer_budget: AnswerBudget::default(),
+        memory: Memory::new(role.decision_settings.memory_limit),
         tasks: TaskTracker::new(),
     });
     let link = PeerLink::bind(role, Arc::clone(&cx)).await?;
--- a/crates/snipespand/src/gateway/clients.rs
+++ b/crates/snipespand/src/gateway/clients.rs
@@ -6,9 +6,6 @@
 use std::time::Duration;
 
 use eyre::Result;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -18,9 +15,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use snipespan_core::entry::systems::arrivals::BODY_TIME_LIMIT;
+use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::systems::ending;
+use snipespan_core::gateway::tables::memory_budget::RECEIVE_BUFFER;
 use snipespan_core::result_code::ResultCode;
+use snipespan_core::time::Timestamp;
 use snipespan_platform_adapter::headers;
+use snipespan_platform_adapter::headers::RequestFields;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -30,8 +31,12 @@
 use crate::gateway::GatewayContext;
 use crate::gateway::answer;
 use crate::gateway::answer::AnswerBody;
+use crate::gateway::body;
+use crate::gateway::body::BodyError;
+use crate::gateway::client_stream::ClientStream;
 use crate::gateway::request_task::InboundRequest;
 use crate::gateway::request_task::RequestTask;
+use crate::gateway::shell::Input;
 
 /// Maximum number of connections that wait to be accepted. The kernel drops the SYNs of further
 /// ones, and clients retransmit these only after a second.
@@ -51,6 +56,10 @@
         false => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    if cx.memory.is_limited() {
+        // Accepted connections have the same buffer, which then does not grow.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER as u32)?;
+    }
     socket.bind(address)?;
     let listener = socket.listen(LISTEN_BACKLOG)?;
     let address = listener.local_addr()?;
@@ -81,6 +90,8 @@
         log::debug!("could not set TCP_NODELAY on a client's connection: {e}");
     }
     let limits = *cx.limits.borrow();
+    let write_limit = cx.memory.is_limited().then_some(limits.idle_timeout);
+    let stream = ClientStream::new(stream, write_limit);
     let mut policy = cx.connection_policy.clone();
     let service = service_fn(move |req| handle_request(req, Arc::clone(&cx)));
     let mut server = http1::Builder::new();
@@ -129,21 +140,10 @@
         log::warn!(request = fields.id.as_str(); "rejected: a listing has this gateway's address");
         return answer::misdirected_response(&fields.id);
     }
-    let limit = cx.limits.borrow().body_bytes;
-    let collected = Limited::new(body, limit).collect();
-    let read = tokio::time::timeout(BODY_TIME_LIMIT, collected).await;
-    // The inner error becomes whether the body exceeds the limit.
-    let body = match read.map(|body| body.map_err(|e| e.is::<LengthLimitError>())) {
-        Ok(Ok(body)) => body.to_bytes(),
-        failed => {
-            let code = match failed {
-                Err(_) => ResultCode::ExpiredBeforeDispatch,
-                Ok(Err(true)) => ResultCode::RequestTooLarge,
-                Ok(_) => ResultCode::InvalidRequest,
-            };
-            log::info!(request = fields.id.as_str(), code:% = code; "rejected: body unread");
-            return answer::error_response(&fields.id, code, None);
-        }
+    let (read, rest) = body::read(cx, body, received, fields.time_limit).await;
+    let body = match read {
+        Ok(body) => body,
+        Err(e) => return refuse_unread(cx, &fields, received, e, rest).await,
     };
     let id = fields.id.clone();
     let inbound = InboundRequest {
@@ -152,7 +152,8 @@
         headers: parts.headers,
         fields,
         received,
-        body,
+        body: body.bytes,
+        _overhead: body.overhead,
     };
     let (head_tx, head_rx) = oneshot::channel();
     let task = RequestTask::start(Arc::clone(cx), inbound, head_tx);
@@ -166,3 +167,25 @@
         Err(_) => answer::error_response(&id, ResultCode::OutcomeUnknown, None),
     }
 }
+
+/// Answers a request whose body was not read to its end, and so did not run.
+async fn refuse_unread(
+    cx: &GatewayContext,
+    fields: &RequestFields,
+    received: Timestamp,
+    error: BodyError,
+    rest: Incoming,
+) -> Response<AnswerBody> {
+    let (id, code) = (&fields.id, error.code());
+    let BodyError::Refused { refusal, bytes, waited } = error else {
+        log::info!(request = id.as_str(), code:% = code; "rejected: body unread");
+        return answer::error_response(id, code, None);
+    };
+    let event = Event::BodyRefused { id: id.clone(), refusal, bytes, waited };
+    // Sending fails only after the control thread has ended, when nothing needs the event.
+    let _ = cx.control.send(Input::Event(event)).await;
+    let limit = fields.time_limit.unwrap_or(body::DEFAULT_TIME_LIMIT);
+    let remaining = limit.saturating_sub(cx.clock.now().since(received));
+    tokio::spawn(body::discard(rest, remaining));
+    answer::error_response(id, code, Some(ending::retry_after(code, remaining)))
+}
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -4,6 +4,7 @@
 
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::event::AnswerStage;
+use snipespan_core::result_code::ResultCode;
 
 use crate::gateway::metrics::GatewayMetrics;
 
@@ -19,6 +20,17 @@
                 configuration = version.0, store_age_ms; "rejected"
             );
         }
+        Decision::BodyRefused { id, refusal, bytes, waited } => {
+            metrics.count(ResultCode::Overloaded.row().name);
+            log::info!(
+                request = id.as_str(), code:% = ResultCode::Overloaded, reason:% = refusal, bytes,
+                waited_ms = ms(*waited); "rejected: no memory for the body"
+            );
+        }
+        Decision::AnswerUnread { id, waited } => log::info!(
+            request = id.as_str(), waited_ms = ms(*waited);
+            "answer cut off: its client does not read"
+        ),
         Decision::Placed {
             id,
             route,
@@ -167,6 +179,8 @@
         Decision::StopBegan { open } => log::info!(open; "planned stop began"),
         // `log_decision` writes these.
         Decision::Rejected { .. }
+        | Decision::BodyRefused { .. }
+        | Decision::AnswerUnread { .. }
         | Decision::Placed { .. }
         | Decision::Held { .. }
         | Decision::Deferred { .. }
--- a/crates/snipespand/src/gateway/metrics.rs
+++ b/crates/snipespand/src/gateway/metrics.rs
@@ -12,6 +12,8 @@
 use snipespan_core::gateway::world::Counters;
 use snipespan_core::gateway::world::World;
 
+use crate::gateway::memory::Memory;
+
 /// Bucket bounds of the latency histograms in seconds: the deployments' latency goals (0.1, 0.3,
 /// 1.5 and 3 s), their timeouts (0.8, 10 and 15 s), and steps between them.
 const LATENCY_BOUNDS_S: [f64; 14] =
@@ -61,8 +63,8 @@
         self.duration.with_label_values(&[outcome]).observe(seconds);
     }
 
-    /// Updates the counters and gauges from the control state.
-    pub(super) fn update(&self, world: &World) {
+    /// Updates the counters and gauges from the control state and the memory budget.
+    pub(super) fn update(&self, world: &World, memory: &Memory) {
         let Counters {
             arrivals,
             completed,
@@ -75,6 +77,8 @@
             retries_over_budget,
             spans,
             prompt_parts_blocked,
+            bodies_refused,
+            answers_unread,
         } = world.counters;
         let counts = [
             ("requests_arrived", arrivals),
@@ -88,12 +92,17 @@
             ("retries_over_budget", retries_over_budget),
             ("spans", spans),
             ("prompt_parts_blocked", prompt_parts_blocked),
+            ("bodies_refused", bodies_refused),
+            ("answers_unread", answers_unread),
         ];
         for (kind, value) in counts {
             let counter = self.events.with_label_values(&[kind]);
             counter.inc_by(value.saturating_sub(counter.get()));
         }
+        let (memory_used, bodies_waiting) = memory.levels();
         let levels = [
+            ("memory_used_bytes", memory_used as usize),
+            ("bodies_waiting", bodies_waiting),
             ("requests_open", world.requests.len()),
             ("work_in_view", world.work.len()),
             ("backend_servers", world.backend_servers.rows.len()),
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -14,6 +14,7 @@
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
+use snipespan_core::gateway::tables::memory_budget::MemoryUse;
 use snipespan_core::keys::RequestKey;
 use snipespan_core::keys::WorkKey;
 use snipespan_core::result_code::ResultCode;
@@ -21,18 +22,20 @@
 use snipespan_platform_adapter::headers;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::gateway::GatewayContext;
 use crate::gateway::answer;
 use crate::gateway::answer::AnswerBody;
 use crate::gateway::answer::BodyPart;
-use crate::gateway::answer_budget::BudgetShare;
 use crate::gateway::events::EventFramer;
 use crate::gateway::events::Progress;
 use crate::gateway::exchange::AttemptError;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::ExchangeEvent;
 use crate::gateway::exchange::OutboundRequest;
+use crate::gateway::memory::Lease;
+use crate::gateway::memory::MemoryExhausted;
 use crate::gateway::shell::Input;
 use crate::gateway::shell::MAX_QUEUED_ORDERS;
 use crate::gateway::shell::Order;
@@ -86,8 +89,8 @@
     failure_answer: Option<FailureAnswer>,
     /// Whether the open attempt was withdrawn in case it was not sent.
     is_withdrawn: bool,
-    /// Memory that the incomplete answer takes.
-    share: BudgetShare,
+    /// Memory that the part of the answer takes that was not passed on yet.
+    share: Lease,
     arrived_at: Timestamp,
     /// Time of the last progress report; equal to `arrived_at` before the first one.
     reported_at: Timestamp,
@@ -121,7 +124,7 @@
             is_streaming: false,
             failure_answer: None,
             is_withdrawn: false,
-            share: cx.answer_budget.share(),
+            share: cx.memory.lease(MemoryUse::Answer),
             arrived_at: now,
             reported_at: now,
             last_event_at: now,
@@ -201,6 +204,20 @@
         }
     }
 
+    /// Counts the memory that the answer takes; waits for some to be given back if there is none.
+    async fn count_memory(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        self.share.resize_within(bytes as u64, self.cx.unread_limit()).await
+    }
+
+    /// Ends the answer of a client that does not read it; the attempt ends with it. Dropping the
+    /// sender of the parts makes the client's connection end with an error.
+    async fn end_unread(&mut self) {
+        self.output = Output::Closed;
+        if let Some(request) = self.request {
+            self.report(Event::AnswerUnread { request, waited: self.cx.unread_limit() }).await;
+        }
+    }
+
     async fn report(&self, event: Event) {
         // Sending fails only after the control thread has ended, when nothing needs the event.
         let _ = self.cx.control.send(Input::Event(event)).await;
@@ -215,8 +232,13 @@
         self.events.drop_partial();
         self.is_withdrawn = false;
         // The client first gets the complete events that earlier attempts left undelivered.
-        if let AttemptStatus::Interrupted(order) = self.deliver_events().await {
-            return AfterAttempt::Execute(order);
+        match self.deliver_events().await {
+            AttemptStatus::InProgress | AttemptStatus::Ended => {}
+            AttemptStatus::Interrupted(order) => return AfterAttempt::Execute(order),
+            AttemptStatus::Unread => {
+                self.end_unread().await;
+                return AfterAttempt::Done;
+            }
         }
         if self.is_withdrawn {
             return self.withdraw_unsent(work).await;
@@ -248,6 +270,11 @@
                 AttemptStatus::InProgress => {}
                 AttemptStatus::Ended => return AfterAttempt::Wait,
                 AttemptStatus::Interrupted(order) => return AfterAttempt::Execute(order),
+                AttemptStatus::Unread => {
+                    drop(exchange);
+                    self.end_unread().await;
+                    return AfterAttempt::Done;
+                }
             }
         }
     }
@@ -292,11 +319,13 @@
                 self.forward_events(work, &bytes, partial).await
             }
             ExchangeEvent::Bytes(bytes) => {
-                if self.share.resize(partial.body.len() + bytes.len()).is_err() {
-                    return self.fail_attempt(work, FailReason::Oversized, partial).await;
+                match self.count_memory(partial.grown_capacity(bytes.len())).await {
+                    Ok(()) => {
+                        partial.append(&bytes);
+                        AttemptStatus::InProgress
+                    }
+                    Err(_) => self.fail_attempt(work, FailReason::Oversized, partial).await,
                 }
-                partial.body.extend_from_slice(&bytes);
-                AttemptStatus::InProgress
             }
             ExchangeEvent::End => self.finish_answer(work, partial).await,
             ExchangeEvent::Error(AttemptError::NotRun(reason)) => {
@@ -342,7 +371,7 @@
         let Ok(progress) = self.events.push(bytes) else {
             return self.fail_attempt(work, FailReason::Corrupt, partial).await;
         };
-        if self.share.resize(self.events.buffered_bytes()).is_err() {
+        if self.count_memory(self.events.buffered_bytes()).await.is_err() {
             return self.fail_attempt(work, FailReason::Oversized, partial).await;
         }
         if progress == Progress::None {
@@ -392,10 +421,12 @@
             biased;
             permit = parts.reserve() => {
                 if let Ok(permit) = permit {
-                    permit.send(BodyPart::Bytes(self.events.take_undelivered()));
+                    let bytes = self.events.take_undelivered();
+                    permit.send(BodyPart::Bytes(self.share.attach(bytes)));
                 }
                 AttemptStatus::InProgress
             }
+            () = sleep(self.cx.unread_limit()) => AttemptStatus::Unread,
             order = next_interrupt(&mut self.orders, &mut self.is_withdrawn) => {
                 AttemptStatus::Interrupted(order)
             }
@@ -413,6 +444,7 @@
                     permit.send(BodyPart::End);
                 }
             }
+            () = sleep(self.cx.unread_limit()) => return AttemptStatus::Unread,
             order = next_interrupt(&mut self.orders, &mut self.is_withdrawn) => {
                 return AttemptStatus::Interrupted(order);
             }
@@ -430,16 +462,18 @@
                 return self.fail_attempt(work, FailReason::Broken, partial).await;
             }
             self.open_stream(partial, self.cx.clock.now());
-            if let AttemptStatus::Interrupted(order) = self.deliver_events().await {
-                return AttemptStatus::Interrupted(order);
+            match self.deliver_events().await {
+                AttemptStatus::InProgress | AttemptStatus::Ended => {}
+                status => return status,
             }
-            if let AttemptStatus::Interrupted(order) = self.end_stream().await {
-                return AttemptStatus::Interrupted(order);
+            match self.end_stream().await {
+                AttemptStatus::InProgress | AttemptStatus::Ended => {}
+                status => return status,
             }
             self.report_completed(work).await;
             return AttemptStatus::Ended;
         }
-        let body = std::mem::take(&mut partial.body).freeze();
+        let body = self.share.attach(std::mem::take(&mut partial.body).freeze());
         if partial.status >= 500 {
             let headers = std::mem::take(&mut partial.headers);
             self.failure_answer = Some(FailureAnswer { status: partial.status, headers, body });
@@ -481,6 +515,8 @@
     Ended,
     /// The attempt is interrupted by this order; `None` means that the queue is closed.
     Interrupted(Option<Order>),
+    /// The client has not read the answer for too long.
+    Unread,
 }
 
 /// Waits for an order that interrupts an attempt, also one that was sent, and records whether it was
--- a/crates/snipespand/src/gateway/request_task/inbound.rs
+++ b/crates/snipespand/src/gateway/request_task/inbound.rs
@@ -10,6 +10,8 @@
 use snipespan_core::time::Timestamp;
 use snipespan_platform_adapter::headers::RequestFields;
 
+use crate::gateway::memory::Lease;
+
 /// A client's request with its complete body.
 #[derive(Debug)]
 pub(in crate::gateway) struct InboundRequest {
@@ -20,6 +22,8 @@
     /// When its head was received.
     pub(in crate::gateway) received: Timestamp,
     pub(in crate::gateway) body: Bytes,
+    /// Memory that the request takes besides its body.
+    pub(in crate::gateway) _overhead: Lease,
 }
 
 impl InboundRequest {
--- a/crates/snipespand/src/gateway/request_task/partial_answer.rs
+++ b/crates/snipespand/src/gateway/request_task/partial_answer.rs
@@ -19,7 +19,23 @@
     pub(super) body: BytesMut,
 }
 
+/// Number of bytes by which the buffer of an answer grows at least.
+const MIN_GROWTH: usize = 4096;
+
 impl PartialAnswer {
+    /// Returns the size of the body's buffer once further bytes are appended.
+    pub(super) fn grown_capacity(&self, added: usize) -> usize {
+        let (needed, capacity) = (self.body.len() + added, self.body.capacity());
+        if needed <= capacity { capacity } else { needed.max(capacity * 2).max(MIN_GROWTH) }
+    }
+
+    /// Appends bytes to the body.
+    pub(super) fn append(&mut self, bytes: &[u8]) {
+        let capacity = self.grown_capacity(bytes.len());
+        self.body.reserve(capacity - self.body.len());
+        self.body.extend_from_slice(bytes);
+    }
+
     /// Returns how far the answer has come.
     pub(super) const fn stage(&self, now: Timestamp) -> AnswerStage {
         match self.first_event {
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -231,7 +231,7 @@
         }
         if now >= self.metrics_due {
             self.metrics_due = now.after(METRICS_INTERVAL);
-            self.cx.metrics.update(&self.world);
+            self.cx.metrics.update(&self.world, &self.cx.memory);
         }
         match self.disconnected.is_empty() {
             true => tick.wake_at,
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod faults;
 mod harness;
+mod memory;
 mod observing;
 mod odd_answers;
 mod odd_listings;
