Gateway: a measurement of memory beside uploads of the longest bodies

For the table in docs/CAPACITY.md: resident memory and time to the first event of 100 short requests beside 1, 100 and 1,000 uploads. It is ignored in usual runs, as it checks nothing.

--- a/crates/snipespand/tests/gateway/memory.rs
+++ b/crates/snipespand/tests/gateway/memory.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::join_all;
 use hyper::Method;
+use rstest::rstest;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -274,3 +275,53 @@
     let peak = gateway.peak_memory_kib();
     assert!(peak < MEMORY_KIB, "{peak} KiB");
 }
+
+/// Sends a short stream and returns the time to its first event.
+async fn first_event(address: SocketAddr, id: &str) -> Duration {
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(head("/stream/1", id, "content-length: 0").as_bytes()).await.expect("sent");
+    let mut text = Vec::new();
+    let mut buf = [0; 4096];
+    while !text.windows(6).any(|window| window == b"data: ") {
+        let read = stream.read(&mut buf).await.expect("an answer");
+        assert!(read > 0, "{}", String::from_utf8_lossy(&text));
+        text.extend_from_slice(&buf[..read]);
+    }
+    began.elapsed()
+}
+
+/// Prints a row of the table of docs/CAPACITY.md: resident memory, and the time to the first event
+/// of 100 short requests beside uploads of the greatest body. `MEMORY_SETTING` replaces the setting,
+/// for a run without one.
+#[rstest]
+#[case::one(1)]
+#[case::hundred(100)]
+#[case::thousand(1000)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "a measurement that needs a quiet machine"]
+async fn measured_memory(#[case] count: usize) {
+    let setting = std::env::var("MEMORY_SETTING").unwrap_or("memory_limit = 260MB\n".to_owned());
+    let (_platform, gateway) = start(&setting).await;
+    let uploads = (0..count).map(|number| {
+        let (address, id) = (gateway.clients, format!("upload-{number}"));
+        tokio::spawn(async move { upload(address, &id, Duration::from_secs(6)).await })
+    });
+    let uploads: Vec<_> = uploads.collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut times = Vec::new();
+    for number in 0..100 {
+        times.push(first_event(gateway.clients, &format!("short-{number}")).await);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    times.sort();
+    let answers = join_all(uploads).await;
+    let served = answers.iter().flatten().filter(|text| text.starts_with("HTTP/1.1 200")).count();
+    let refused = answers.iter().flatten().filter(|text| text.starts_with("HTTP/1.1 503")).count();
+    println!(
+        "| {count} | {} | {:.1} / {:.1} | {served} | {refused} |",
+        gateway.peak_memory_kib(),
+        times[49].as_secs_f64() * 1e3,
+        times[98].as_secs_f64() * 1e3
+    );
+}
