Gateway: the last log lines are written before the process ends

Cause: the writer thread of the JSON log ends with the process; the flush of the logger does nothing, so lines that were queued when a planned stop ended were lost.

Change: the daemon waits for the writer to have written all lines, for 100 ms at most.

By reading: the entry waits for its callers' connections (30 s), the side process for its streams (5 s); both log to standard error without a queue.

--- a/crates/snipespan_telemetry/src/json_logs.rs
+++ b/crates/snipespan_telemetry/src/json_logs.rs
@@ -7,10 +7,12 @@
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 use std::thread;
 use std::time::Duration;
@@ -31,10 +33,24 @@
 /// Maximum number of lines in the queue to the writer thread.
 const MAX_QUEUED_LINES: usize = 4096;
 
+/// Pause before a full queue is tried again at the end of the process.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// Maximum number of lines that are accepted per second, ten times the rate of a gateway under
 /// normal load.
 const MAX_LINES_PER_S: u64 = 4000;
 
+/// What the logger sends to the writer thread.
+enum Message {
+    /// A complete line.
+    Line(Vec<u8>),
+    /// All lines before this one shall be written; dropped when they are.
+    Flush(SyncSender<()>),
+}
+
+/// Queue to the writer thread, for [`finish`].
+static QUEUE: OnceLock<SyncSender<Message>> = OnceLock::new();
+
 /// Starts logging with `filters`, which the environment variable `RUST_LOG` overrides.
 ///
 /// A second call in the same process has no effect.
@@ -43,6 +59,8 @@
 /// If the writer thread cannot be started.
 pub fn start(filters: &str) -> io::Result<()> {
     let (lines, queue) = sync_channel(MAX_QUEUED_LINES);
+    // Fails on a second call, whose queue is not used.
+    let _ = QUEUE.set(lines.clone());
     let dropped = Arc::new(AtomicU64::new(0));
     let sender = LineSender {
         lines,
@@ -60,6 +78,24 @@
     Ok(())
 }
 
+/// Waits until all lines so far are written, for `limit` at most: the writer thread ends with the
+/// process, whatever is queued. Does nothing if logging was not started.
+pub fn finish(limit: Duration) {
+    let Some(queue) = QUEUE.get() else { return };
+    let (written, done) = sync_channel(0);
+    let end = Instant::now() + limit;
+    let mut message = Message::Flush(written);
+    while let Err(TrySendError::Full(unsent)) = queue.try_send(message) {
+        if Instant::now() >= end {
+            return;
+        }
+        message = unsent;
+        thread::sleep(FLUSH_PAUSE);
+    }
+    // The writer drops the sender, which ends the wait with an error.
+    let _ = done.recv_timeout(end.saturating_duration_since(Instant::now()));
+}
+
 fn format_record(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let mut fields = Map::new();
     fields.insert("time".into(), buf.timestamp_millis().to_string().into());
@@ -97,7 +133,7 @@
 
 /// Output of the logger, which sends each complete line to the writer thread or drops it.
 struct LineSender {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Message>,
     dropped: Arc<AtomicU64>,
     window_start: Instant,
     lines_in_window: u64,
@@ -116,7 +152,7 @@
 
 impl Write for LineSender {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.is_over_rate() || self.lines.try_send(line.to_vec()).is_err() {
+        if self.is_over_rate() || self.lines.try_send(Message::Line(line.to_vec())).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -127,11 +163,15 @@
     }
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(queue: &Receiver<Message>, dropped: &AtomicU64) {
     let mut out = io::stdout();
-    while let Ok(mut lines) = queue.recv() {
-        for line in queue.try_iter() {
-            lines.extend(line);
+    while let Ok(first) = queue.recv() {
+        let (mut lines, mut flushes) = (Vec::new(), Vec::new());
+        for message in std::iter::once(first).chain(queue.try_iter()) {
+            match message {
+                Message::Line(line) => lines.extend(line),
+                Message::Flush(written) => flushes.push(written),
+            }
         }
         let dropped_lines = dropped.swap(0, Ordering::Relaxed);
         if dropped_lines > 0 {
--- a/crates/snipespand/src/daemon.rs
+++ b/crates/snipespand/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Startup and planned stop of the daemon.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::ArgMatches;
 use eyre::Result;
@@ -22,6 +23,10 @@
 use crate::process::Addresses;
 use crate::side;
 
+/// Maximum wait at the end for the log lines to be written; standard output that is not read blocks
+/// the writer for ever.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Runs the daemon according to its command-line arguments until a signal requests a planned stop.
 ///
 /// # Errors
@@ -42,7 +47,9 @@
         tokio::spawn(stop_on_signal(stop));
         let (listening, addresses) = oneshot::channel();
         tokio::spawn(print_addresses(addresses));
-        run(settings, stopping, listening).await
+        let result = run(settings, stopping, listening).await;
+        json_logs::finish(LAST_LINES_TIMEOUT);
+        result
     })
 }
 
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -172,7 +172,6 @@
     let remaining = answers_until.since(clock.now());
     let is_done = tokio::time::timeout(remaining, cx.tasks.wait()).await.is_ok();
     log::info!(vm = settings.vm.0.as_str(), is_done; "gateway stopped");
-    log::logger().flush();
     Ok(())
 }
 
--- a/crates/snipespand/tests/gateway/draining.rs
+++ b/crates/snipespand/tests/gateway/draining.rs
@@ -214,3 +214,18 @@
     }
     assert_eq!(platform.engines[0].runs().len(), before);
 }
+
+/// Guards against log lines of a stopping gateway that are still queued when the process ends.
+#[tokio::test]
+async fn stopped_gateway_logs_its_last_line() {
+    let platform = TestPlatform::start(1).await;
+    let mut gateways = Vec::new();
+    for number in 0..8 {
+        gateways.push(platform.gateway(&format!("gateway-{number}")).await);
+    }
+    gateways.iter().for_each(|gateway| gateway.signal(Signal::SIGTERM));
+    for gateway in &mut gateways {
+        gateway.wait_for_exit().await;
+        gateway.wait_for_log("gateway stopped", None).await;
+    }
+}
