--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -10,6 +10,7 @@
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::serving::ServingVersion;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::prompt_parts::PromptPart;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::WorkDemand;
@@ -33,6 +34,24 @@
         /// The request.
         request: RequestKey,
     },
+    /// A request was refused, as there was no memory for its body.
+    BodyRefused {
+        /// Id that the client gave the request.
+        id: CompactString,
+        /// Why there was none.
+        refusal: BodyRefusal,
+        /// Bytes that the body asked for.
+        bytes: u64,
+        /// Time since its head was received.
+        waited: Duration,
+    },
+    /// The client has read nothing of a streamed answer for too long, and its connection is closed.
+    AnswerUnread {
+        /// The request.
+        request: RequestKey,
+        /// Time for which the client has read nothing.
+        waited: Duration,
+    },
     /// An attempt did not run and will not run.
     AttemptNotRun {
         /// The attempt.
@@ -139,6 +158,8 @@
     pub host: CompactString,
     /// Path without the query.
     pub path: CompactString,
+    /// Length of its body in bytes.
+    pub body_bytes: u64,
     /// API key, if the client sent one.
     pub api_key: Option<CompactString>,
     /// Time that the client waits for the answer, if it states one.
@@ -364,6 +385,8 @@
     DecodeStarted(WorkId),
     /// The work ended.
     Ended(WorkId),
+    /// The work has a long body of this many bytes.
+    BodySent(WorkId, u64),
 }
 
 /// A piece of work as its gateway reports it.
--- a/crates/snipespan_core/src/gateway/systems/availability.rs
+++ b/crates/snipespan_core/src/gateway/systems/availability.rs
@@ -46,13 +46,16 @@
     /// It failed or refused this request before.
     #[display("avoided")]
     Avoided,
+    /// The bodies of its work leave no room for that of this request.
+    #[display("bodies")]
+    Bodies,
 }
 
 /// Numbers of backend servers of a service by what keeps requests from them.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
 #[display(
     "leaving {leaving}, evacuated {evacuated}, outside home regions {outside_home}, unwanted \
-     {unwanted}, cold {cold}, suspended {suspended}, avoided {avoided}"
+     {unwanted}, cold {cold}, suspended {suspended}, avoided {avoided}, bodies {bodies}"
 )]
 pub struct ObstacleCounts {
     /// Leaving or gone.
@@ -69,6 +72,8 @@
     pub suspended: usize,
     /// They failed or refused the request before.
     pub avoided: usize,
+    /// The bodies of their work leave no room for that of the request.
+    pub bodies: usize,
 }
 
 impl SendObstacle {
@@ -78,7 +83,9 @@
             Self::Unwanted { until } | Self::Suspended { until } | Self::Cold { until } => {
                 Some(until)
             }
-            Self::Leaving | Self::Evacuated | Self::OutsideHome | Self::Avoided => None,
+            Self::Leaving | Self::Evacuated | Self::OutsideHome | Self::Avoided | Self::Bodies => {
+                None
+            }
         }
     }
 
@@ -110,6 +117,10 @@
     if request.avoided.contains(&server) {
         return Some(SendObstacle::Avoided);
     }
+    // Bodies are bounded where the memory of the deployment's processes is stated.
+    if world.settings.memory_limit.is_some() && row.is_full_of_bodies(request.body_bytes) {
+        return Some(SendObstacle::Bodies);
+    }
     let until = row.suspended_until;
     (now < until).then_some(SendObstacle::Suspended { until })
 }
@@ -238,6 +249,7 @@
             Some(SendObstacle::Cold { .. }) => &mut counts.cold,
             Some(SendObstacle::Suspended { .. }) => &mut counts.suspended,
             Some(SendObstacle::Avoided) => &mut counts.avoided,
+            Some(SendObstacle::Bodies) => &mut counts.bodies,
         };
         *count += 1;
     }
--- a/crates/snipespan_core/src/gateway/tables/requests.rs
+++ b/crates/snipespan_core/src/gateway/tables/requests.rs
@@ -111,6 +111,8 @@
     pub home_regions: HomeRegions,
     /// How often it may run, and how it is answered.
     pub kind: RouteKind,
+    /// Length of its body in bytes.
+    pub body_bytes: u64,
     /// Prompt tokens.
     pub prompt_tokens: u64,
     /// Parts of its prompt that other prompts may share.
@@ -188,6 +190,7 @@
             account: None,
             home_regions: HomeRegions::default(),
             kind,
+            body_bytes: arrival.body_bytes,
             prompt_tokens: arrival.prompt_tokens,
             parts: arrival.parts.as_slice().into(),
             own_part: arrival.own_part,
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -135,6 +135,10 @@
     pub cold_waits: u64,
     /// Requests that were refused because only cold backend servers were left.
     pub cold_refusals: u64,
+    /// Requests that were refused because there was no memory for their body.
+    pub bodies_refused: u64,
+    /// Streamed answers that ended because their client did not read them.
+    pub answers_unread: u64,
 }
 
 /// Control state of a gateway.
@@ -262,6 +266,15 @@
         Some(key)
     }
 
+    /// Sets the length of the body that was sent with a piece of work.
+    pub fn set_body(&mut self, key: WorkKey, bytes: u64) {
+        let Some(work) = self.work.get_mut(key) else { return };
+        let before = std::mem::replace(&mut work.body_bytes, bytes);
+        if let Some(row) = self.backend_servers.rows.get_mut(work.backend_server) {
+            row.body_bytes = row.body_bytes.saturating_sub(before).saturating_add(bytes);
+        }
+    }
+
     /// Moves a piece of work from prefill to decode; does nothing if it is already there.
     pub fn start_decode(&mut self, key: WorkKey, now: Timestamp) {
         let Some(work) = self.work.get_mut(key) else { return };
@@ -291,6 +304,7 @@
         let work = self.work.remove(key)?;
         if let Some(row) = self.backend_servers.rows.get_mut(work.backend_server) {
             row.work.retain(|known| *known != key);
+            row.body_bytes = row.body_bytes.saturating_sub(work.body_bytes);
             if work.phase == Phase::Prefill {
                 row.last_prefill_end = now;
             }
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -85,6 +85,7 @@
         cold_slack: None,
         stop_limit: Duration::from_secs(8),
         max_reservation_ttl: Duration::from_secs(20),
+        memory_limit: None,
         seed: 7,
     }
 }
@@ -250,6 +251,7 @@
             received: self.now,
             host: HOST.into(),
             path: path.into(),
+            body_bytes: 0,
             api_key: Some(API_KEY.into()),
             time_limit: Some(Duration::from_secs(10)),
             prompt_tokens,
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -8,11 +8,14 @@
 use snipespan_core::gateway::settings::GatewaySettings;
 
 use crate::ini_file::IniFile;
+use crate::units::parse_memory;
 
 const ADDRESS_ALLOWED: &str = "an IP address and a port (such as 10.0.0.7:8443; port 0 lets the \
     system choose)";
 const SEEDS_ALLOWED: &str = "IP addresses with or without ports, separated by commas";
 const REGION_ALLOWED: &str = "the name of a region, or nothing if it is not known";
+const MEMORY_ALLOWED: &str = "a whole number of bytes above 0, or with a unit: B, KB, MB, GB, KiB, \
+    MiB, GiB (such as 260MB)";
 const NON_NEGATIVE_ALLOWED: &str = "a number of at least 0";
 
 /// Settings of the gateway role.
@@ -74,6 +77,7 @@
     // The deployment sets these as well.
     let mut regions = ini.named_values("data_centres", REGION_ALLOWED, |_| true);
     regions.retain(|(_, region)| !region.is_empty());
+    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, parse_memory);
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -86,6 +90,7 @@
         cold_slack,
         stop_limit,
         max_reservation_ttl,
+        memory_limit,
         seed: 0,
     };
     Some(GatewayRole {
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod harness;
 mod home_regions;
+mod memory;
 mod observing;
 mod odd_answers;
 mod odd_listings;
