Metrics: count bytes by kind and place

Traffic between data centres is paid by the byte, and nothing showed what a gateway sends where. The metrics address now serves snipespan_bytes_total{kind,place}: datagrams to peers by kind of message, requests and answers of backend servers by data centre, and calls to the store. Connections are counted at the socket by a meter that the stream carries; the totals are collected when the metrics are read.

The place of a peer is unknown until peers state their data centre.

--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -86,6 +86,7 @@
     let peer = Peer {
         address,
         node: None,
+        data_centre: None,
         rank: u64::MAX,
         incarnation: 0,
         sequence: 0,
--- a/crates/snipespan_core/src/gateway/tables/peers.rs
+++ b/crates/snipespan_core/src/gateway/tables/peers.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::event::FeedReport;
 use crate::gateway::serving::ServingVersion;
+use crate::keys::DataCentreKey;
 use crate::keys::PeerKey;
 use crate::table::Entity;
 use crate::time::Timestamp;
@@ -25,6 +26,8 @@
     pub address: SocketAddr,
     /// Name of the peer; `None` before its first message.
     pub node: Option<CompactString>,
+    /// Its data centre; `None` if it does not state one.
+    pub data_centre: Option<DataCentreKey>,
     /// Its rank among the gateways, by its name; the lowest ranks follow the store's feeds.
     pub rank: u64,
     /// Incarnation of its last message.
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod answer_budget;
+mod byte_meters;
 mod clients;
 mod decisions;
 pub mod events;
--- a/crates/snipespand/src/gateway/exchange.rs
+++ b/crates/snipespand/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
 use snipespan_core::time::Timestamp;
+use snipespan_platform_adapter::byte_meter::ByteMeter;
 use snipespan_platform_adapter::connection::Connection;
 use snipespan_platform_adapter::error::CallError;
 use snipespan_platform_adapter::headers;
@@ -98,10 +99,11 @@
 }
 
 impl Exchange {
-    /// Creates an attempt, which connects on the first call of [`Self::next`].
-    pub(super) fn new(outbound: OutboundRequest, clock: Clock) -> Self {
+    /// Creates an attempt, which connects on the first call of [`Self::next`]; `meter` counts its
+    /// bytes.
+    pub(super) fn new(outbound: OutboundRequest, clock: Clock, meter: ByteMeter) -> Self {
         let id = outbound.id.clone();
-        let phase = Phase::Connecting(Box::pin(connect(outbound)));
+        let phase = Phase::Connecting(Box::pin(connect(outbound, meter)));
         Self { phase, id, clock, announcement: Announcement::default() }
     }
 
@@ -186,9 +188,10 @@
     }
 }
 
-async fn connect(outbound: OutboundRequest) -> ConnectResult {
+async fn connect(outbound: OutboundRequest, meter: ByteMeter) -> ConnectResult {
+    let address = outbound.address;
     let opened =
-        Connection::open_bounded(outbound.address, CONNECT_TIMEOUT, MAX_BUFFERED_BYTES).await;
+        Connection::open_bounded(address, CONNECT_TIMEOUT, MAX_BUFFERED_BYTES, meter).await;
     match opened {
         Ok(connection) => Ok((connection, outbound)),
         Err(e) => {
--- a/crates/snipespand/src/gateway/metrics.rs
+++ b/crates/snipespand/src/gateway/metrics.rs
@@ -11,6 +11,10 @@
 use prometheus::TextEncoder;
 use snipespan_core::gateway::world::Counters;
 use snipespan_core::gateway::world::World;
+use snipespan_platform_adapter::byte_meter::ByteMeter;
+
+use crate::gateway::byte_meters::ByteMeters;
+use crate::gateway::byte_meters::Place;
 
 /// Bucket bounds of the latency histograms in seconds: the deployments' latency goals (0.1, 0.3,
 /// 1.5 and 3 s), their timeouts (0.8, 10 and 15 s), and steps between them.
@@ -21,6 +25,9 @@
 #[derive(Debug)]
 pub(super) struct GatewayMetrics {
     registry: Registry,
+    /// Meters of connections, which are collected before the metrics are served.
+    pub(super) meters: ByteMeters,
+    bytes: IntCounterVec,
     events: IntCounterVec,
     levels: IntGaugeVec,
     first_byte: HistogramVec,
@@ -35,13 +42,17 @@
         let events = IntCounterVec::new(events, &["kind"])?;
         let levels = Opts::new("snipespan_level", "What is open or in view now, by kind");
         let levels = IntGaugeVec::new(levels, &["kind"])?;
+        let bytes = Opts::new("snipespan_bytes_total", "Bytes exchanged, by kind and place");
+        let bytes = IntCounterVec::new(bytes, &["kind", "place"])?;
         let first_byte = histogram("snipespan_first_byte_seconds", "Time to the first byte")?;
         let duration = histogram("snipespan_request_seconds", "Time to the final answer")?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(levels.clone()))?;
+        registry.register(Box::new(bytes.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
         registry.register(Box::new(duration.clone()))?;
-        Ok(Self { registry, events, levels, first_byte, duration })
+        let meters = ByteMeters::default();
+        Ok(Self { registry, meters, bytes, events, levels, first_byte, duration })
     }
 
     /// Increments the event counter of a kind.
@@ -49,6 +60,25 @@
         self.events.with_label_values(&[kind]).inc();
     }
 
+    /// Counts bytes of a kind that were exchanged with a place.
+    pub(super) fn add_bytes(&self, kind: &str, place: Place, bytes: u64) {
+        if bytes > 0 {
+            self.bytes.with_label_values(&[kind, &place.to_string()]).inc_by(bytes);
+        }
+    }
+
+    fn collect_bytes(&self) {
+        let collect = |meter: &ByteMeter, place: Place, sent: &str, received: &str| {
+            let counts = meter.take();
+            self.add_bytes(sent, place, counts.sent);
+            self.add_bytes(received, place, counts.received);
+        };
+        for place in [Place::Same, Place::Other, Place::Unknown] {
+            collect(self.meters.backend(place), place, "backend_requests", "backend_answers");
+        }
+        collect(&self.meters.store, Place::Unknown, "store_requests", "store_answers");
+    }
+
     /// Records the time in seconds from a request's arrival to the first byte of its answer; `kind`
     /// is `streaming` or `plain`.
     pub(super) fn observe_first_byte(&self, kind: &str, seconds: f64) {
@@ -107,6 +137,7 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn render(&self) -> Result<Vec<u8>> {
+        self.collect_bytes();
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -19,6 +19,7 @@
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::PeerMessage;
 use snipespan_core::gateway::serving::ServingVersion;
+use snipespan_core::gateway::world::World;
 use snipespan_platform_adapter::configuration;
 use snipespan_platform_adapter::connection::Connection;
 use snipespan_settings::gateway::GatewayRole;
@@ -26,6 +27,9 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::GatewayContext;
+use crate::gateway::byte_meters;
+use crate::gateway::byte_meters::Place;
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::shell::Input;
 
 /// Size of the receive buffer for a datagram in bytes; those that gateways send are far smaller.
@@ -82,10 +86,10 @@
     /// duplicated.
     pub(super) fn sender(&self) -> PeerSender {
         match self.sender.try_clone() {
-            Ok(socket) => PeerSender { socket: Some(socket) },
+            Ok(socket) => PeerSender::new(Some(socket), Arc::clone(&self.cx.metrics)),
             Err(e) => {
                 log::error!("could not clone the socket to peers, so none is notified: {e}");
-                PeerSender { socket: None }
+                PeerSender::new(None, Arc::clone(&self.cx.metrics))
             }
         }
     }
@@ -166,9 +170,40 @@
 #[derive(Debug)]
 pub(super) struct PeerSender {
     socket: Option<StdUdpSocket>,
+    metrics: Arc<GatewayMetrics>,
+    /// Places of the peers whose data centre is known, by ascending address.
+    places: Vec<(SocketAddr, Place)>,
 }
 
 impl PeerSender {
+    const fn new(socket: Option<StdUdpSocket>, metrics: Arc<GatewayMetrics>) -> Self {
+        Self { socket, metrics, places: Vec::new() }
+    }
+
+    /// Updates the places of the peers, by which bytes are counted.
+    pub(super) fn update_places(&mut self, world: &World) {
+        self.places.clear();
+        let known = world.peers.iter().filter_map(|(_, peer)| {
+            let data_centre = world.data_centres.rows.get(peer.data_centre?)?;
+            Some((peer.address, Place::of_data_centre(world, &data_centre.name)))
+        });
+        self.places.extend(known);
+        self.places.sort_by_key(|(address, _)| *address);
+    }
+
+    fn place_of(&self, address: SocketAddr) -> Place {
+        let found = self.places.binary_search_by_key(&address, |(known, _)| *known);
+        found.map_or(Place::Unknown, |index| self.places[index].1)
+    }
+
+    fn count_bytes(&self, to: &[SocketAddr], message: &PeerMessage, bytes: usize) {
+        let kind = byte_meters::message_kind(&message.update);
+        for place in [Place::Same, Place::Other, Place::Unknown] {
+            let receivers = to.iter().filter(|address| self.place_of(**address) == place).count();
+            self.metrics.add_bytes(kind, place, (receivers * bytes) as u64);
+        }
+    }
+
     /// Sends `message` to all addresses in `to`; peers recover from a lost datagram by the next
     /// snapshot of this gateway's open work.
     pub(super) fn notify(&self, to: &[SocketAddr], message: &PeerMessage) {
@@ -177,6 +212,7 @@
             Ok(bytes) => bytes,
             Err(e) => return log::error!("could not encode a message to peers: {e}"),
         };
+        self.count_bytes(to, message, bytes.len());
         for address in to {
             if let Err(e) = socket.send_to(&bytes, address) {
                 log::debug!(peer:% = address; "could not send a datagram to a peer: {e}");
@@ -189,7 +225,11 @@
     let serving = cx.encoded_serving.borrow().clone();
     match serving.bytes.is_empty() {
         true => Err(StatusCode::NOT_FOUND),
-        false => Ok(serving.bytes),
+        false => {
+            let bytes = serving.bytes.len() as u64;
+            cx.metrics.add_bytes("configurations", Place::Unknown, bytes);
+            Ok(serving.bytes)
+        }
     }
 }
 
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -27,6 +27,7 @@
 use crate::gateway::answer::AnswerBody;
 use crate::gateway::answer::BodyPart;
 use crate::gateway::answer_budget::BudgetShare;
+use crate::gateway::byte_meters::Place;
 use crate::gateway::events::EventFramer;
 use crate::gateway::events::Progress;
 use crate::gateway::exchange::AttemptError;
@@ -155,11 +156,13 @@
                     self.is_streaming = is_streaming;
                     return Flow::Continue;
                 }
-                Some(Order::Send(dispatch)) => match self.run_attempt(*dispatch).await {
-                    AfterAttempt::Execute(order) => next = order,
-                    AfterAttempt::Wait => return Flow::Continue,
-                    AfterAttempt::Done => return Flow::Done,
-                },
+                Some(Order::Send { dispatch, place }) => {
+                    match self.run_attempt(*dispatch, place).await {
+                        AfterAttempt::Execute(order) => next = order,
+                        AfterAttempt::Wait => return Flow::Continue,
+                        AfterAttempt::Done => return Flow::Done,
+                    }
+                }
                 Some(Order::Refuse { code, retry_after }) => {
                     self.end_with_code(code, retry_after);
                     return Flow::Done;
@@ -207,10 +210,11 @@
     }
 
     /// Runs one attempt until it ends or another order arrives.
-    async fn run_attempt(&mut self, dispatch: Dispatch) -> AfterAttempt {
+    async fn run_attempt(&mut self, dispatch: Dispatch, place: Place) -> AfterAttempt {
         let work = dispatch.work;
         let instance_hash = dispatch.instance_hash;
-        let mut exchange = Exchange::new(self.build_outbound(&dispatch), self.cx.clock);
+        let meter = self.cx.metrics.meters.backend(place).clone();
+        let mut exchange = Exchange::new(self.build_outbound(&dispatch), self.cx.clock, meter);
         let mut partial = PartialAnswer::default();
         self.events.drop_partial();
         self.is_withdrawn = false;
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -29,6 +29,7 @@
 use crate::control::ControlState;
 use crate::gateway::ConnectionPolicy;
 use crate::gateway::GatewayContext;
+use crate::gateway::byte_meters::Place;
 use crate::gateway::decisions;
 use crate::gateway::peers;
 use crate::gateway::peers::PeerSender;
@@ -62,7 +63,7 @@
     /// The request was admitted.
     Admitted { request: RequestKey, is_streaming: bool },
     /// Send the request to a backend server.
-    Send(Box<Dispatch>),
+    Send { dispatch: Box<Dispatch>, place: Place },
     /// Cancel the open attempt.
     DropAttempt,
     /// Withdraw the open attempt unless it was sent.
@@ -111,7 +112,10 @@
                 }
                 self.send_order(caller, Order::Admitted { request, is_streaming });
             }
-            Effect::Send { caller, dispatch } => self.send_order(caller, Order::Send(dispatch)),
+            Effect::Send { caller, dispatch } => {
+                let place = Place::of_backend_server(&self.world, &dispatch.instance);
+                self.send_order(caller, Order::Send { dispatch, place });
+            }
             Effect::DropAttempt { caller } => self.send_order(caller, Order::DropAttempt),
             Effect::DropUnsentAttempt { caller } => self.send_order(caller, Order::DropUnsent),
             Effect::Refuse { caller, code, retry_after } => {
@@ -232,6 +236,7 @@
         if now >= self.metrics_due {
             self.metrics_due = now.after(METRICS_INTERVAL);
             self.cx.metrics.update(&self.world);
+            self.link.update_places(&self.world);
         }
         match self.disconnected.is_empty() {
             true => tick.wake_at,
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -126,7 +126,7 @@
     for table in [Table::Operator, Table::Listings, Table::Gateways] {
         let watcher = Watcher {
             table,
-            store: StoreClient::new(role.store),
+            store: StoreClient::metered(role.store, cx.metrics.meters.store.clone()),
             feed_wait: match table {
                 Table::Operator | Table::Listings => role.feed_wait,
                 Table::Gateways => role.feed_wait * GATEWAYS_WAIT_FACTOR,
--- a/crates/snipespand/tests/gateway/observing.rs
+++ b/crates/snipespand/tests/gateway/observing.rs
@@ -72,3 +72,30 @@
     assert!(text.contains("snipespan_first_byte_seconds_count{kind=\"streaming\"} 1"), "{text}");
     assert!(text.contains("snipespan_request_seconds_count{kind=\"ok\"} 2"), "{text}");
 }
+
+/// Guards against bytes that the counters miss, or count for another place: all backend servers of
+/// this platform are in the gateway's data centre.
+#[tokio::test]
+async fn metrics_count_bytes_by_kind_and_place() {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    let other = platform.gateway("gateway-2").await;
+    gateway.call(Method::POST, "/order/1", "request-1").await;
+    other.wait_for_log("peer regained", None).await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let text = metrics(&gateway).await;
+    for (kind, place) in [
+        ("backend_requests", "same"),
+        ("backend_answers", "same"),
+        ("store_requests", "unknown"),
+        ("store_answers", "unknown"),
+        ("work_changes", "unknown"),
+        ("snapshots", "unknown"),
+    ] {
+        let name = format!("snipespan_bytes_total{{kind=\"{kind}\",place=\"{place}\"}}");
+        let line = text.lines().find_map(|line| line.strip_prefix(&name));
+        let bytes: u64 = line.and_then(|line| line.trim().parse().ok()).expect("a count of bytes");
+        assert!(bytes > 50, "{bytes} bytes of {kind}");
+    }
+    assert!(!text.contains("place=\"other\""), "no traffic left the data centre");
+}
