Gateways relay reports for those of other data centres

Each gateway sent each change of its work to each other one, and two thirds of that crossed data centres. Where remote_mb_cost is set, a message to another data centre of three gateways or more goes to two of them, chosen by rendezvous hashing among those heard within a second; they pass it on once, unchanged. The data centre and the hop follow the message in its datagram, so datagrams are the same where the setting is absent. Once both relays have been silent for 1 s, messages go directly for a second.

Tests of relays.rs were seen to fail without passing on, without relays, and without direct messages after a loss.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -309,6 +309,16 @@
         /// Requests a second that this gateway may send there.
         rate_per_s: f64,
     },
+    /// Messages to the gateways of another data centre are relayed there from now on, or sent to
+    /// each of them.
+    RelayingChanged {
+        /// The data centre.
+        data_centre: CompactString,
+        /// Whether they are relayed.
+        is_relayed: bool,
+        /// Whether both relays fell silent.
+        are_lost: bool,
+    },
     /// A planned stop began.
     StopBegan {
         /// Number of open requests.
--- a/crates/snipespan_core/src/gateway/effect.rs
+++ b/crates/snipespan_core/src/gateway/effect.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use crate::gateway::decision::Decision;
+use crate::gateway::event::MessageRoute;
 use crate::gateway::event::PeerMessage;
 use crate::gateway::event::StoreVersion;
 use crate::gateway::serving::ClientLimits;
@@ -88,6 +89,8 @@
         to: Vec<SocketAddr>,
         /// The message.
         message: Box<PeerMessage>,
+        /// Its route, if it states one.
+        route: Option<MessageRoute>,
     },
     /// Read the serving configuration from a peer that has a newer one.
     FetchServing {
--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -99,6 +99,15 @@
         /// The message.
         message: PeerMessage,
     },
+    /// A message from another gateway stated its route; reported after the message itself.
+    PeerRouteReceived {
+        /// Address of the gateway that sent it first.
+        from: SocketAddr,
+        /// The route.
+        route: MessageRoute,
+        /// The message, if this gateway is asked to relay it.
+        to_relay: Option<Box<PeerMessage>>,
+    },
     /// A backend server announced something in the head of an answer. Reported before the result
     /// of the attempt or order that it answered.
     BackendServerAnnounced {
@@ -302,6 +311,50 @@
     pub update: PeerUpdate,
 }
 
+/// How a message goes to other data centres. It follows the message in its datagram where traffic
+/// between data centres has a cost, and is left out elsewhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageRoute {
+    /// Data centre of the gateway that sent the message first.
+    pub data_centre: CompactString,
+    /// How it reached the receiver.
+    pub hop: Hop,
+}
+
+/// How a message reached its receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hop {
+    /// It is for the receiver alone.
+    Direct,
+    /// The receiver passes it on to the gateways of its data centre.
+    ToRelay,
+    /// A relay passed it on; it goes no further.
+    Relayed {
+        /// Address of the gateway that sent it first.
+        from: SocketAddr,
+    },
+}
+
+/// Returns the events of a message that arrived from `sender` with its route, if it states one.
+pub fn received_events(
+    sender: SocketAddr,
+    message: PeerMessage,
+    route: Option<MessageRoute>,
+) -> Vec<Event> {
+    let Some(route) = route else {
+        return vec![Event::PeerMessageReceived { from: sender, message }];
+    };
+    let from = match route.hop {
+        Hop::Relayed { from } => from,
+        Hop::Direct | Hop::ToRelay => sender,
+    };
+    let to_relay = (route.hop == Hop::ToRelay).then(|| Box::new(message.clone()));
+    vec![
+        Event::PeerMessageReceived { from, message },
+        Event::PeerRouteReceived { from, route, to_relay },
+    ]
+}
+
 /// The content of a message between gateways.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerUpdate {
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -19,6 +19,7 @@
 pub mod prediction;
 pub mod process;
 pub mod prompt_parts;
+pub mod relays;
 pub mod routing;
 pub mod serving;
 pub mod spans;
--- a/crates/snipespan_core/src/gateway/systems/notifications.rs
+++ b/crates/snipespan_core/src/gateway/systems/notifications.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use crate::gateway::effect::Effect;
+use crate::gateway::event::Hop;
+use crate::gateway::event::MessageRoute;
 use crate::gateway::event::PeerMessage;
 use crate::gateway::event::PeerUpdate;
 use crate::gateway::event::WorkChange;
@@ -12,6 +14,7 @@
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::systems::feeds;
 use crate::gateway::systems::prompt_parts;
+use crate::gateway::systems::relays;
 use crate::gateway::tables::work::Work;
 use crate::gateway::tables::work::WorkOwner;
 use crate::gateway::world::World;
@@ -121,8 +124,18 @@
 }
 
 fn send_update(world: &mut World, now: Timestamp, update: PeerUpdate, effects: &mut Vec<Effect>) {
-    let to = world.peers.iter().map(|(_, peer)| peer.address).collect();
-    send_to(world, now, to, update, effects);
+    let (direct, to_relay) = relays::receivers(world);
+    if to_relay.is_empty() {
+        return send_to(world, now, direct, update, effects);
+    }
+    let message = next_message(world, now, update);
+    let route = relays::direct_route(world);
+    let relayed = route.clone().map(|route| MessageRoute { hop: Hop::ToRelay, ..route });
+    for (to, route) in [(direct, route), (to_relay, relayed)] {
+        if !to.is_empty() {
+            effects.push(Effect::NotifyPeers { to, message: message.clone(), route });
+        }
+    }
 }
 
 fn send_to(
@@ -135,16 +148,20 @@
     if to.is_empty() {
         return;
     }
+    let message = next_message(world, now, update);
+    effects.push(Effect::NotifyPeers { to, message, route: relays::direct_route(world) });
+}
+
+fn next_message(world: &mut World, now: Timestamp, update: PeerUpdate) -> Box<PeerMessage> {
     world.sequence += 1;
-    let message = PeerMessage {
+    Box::new(PeerMessage {
         node: world.settings.node.clone(),
         incarnation: world.incarnation,
         sequence: world.sequence,
         version: world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default().0,
         feed: feeds::own_report(world, now),
         update,
-    };
-    effects.push(Effect::NotifyPeers { to, message: Box::new(message) });
+    })
 }
 
 fn own_work_reports(world: &World, now: Timestamp) -> Vec<WorkReport> {
--- a/crates/snipespan_core/src/gateway/tables.rs
+++ b/crates/snipespan_core/src/gateway/tables.rs
@@ -4,6 +4,7 @@
 pub mod data_centres;
 pub mod peers;
 pub mod prompt_parts;
+pub mod relays;
 pub mod remote_shares;
 pub mod requests;
 pub mod retry_budgets;
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -15,6 +15,7 @@
 use crate::gateway::systems::placing;
 use crate::gateway::systems::process;
 use crate::gateway::systems::prompt_parts;
+use crate::gateway::systems::relays;
 use crate::gateway::systems::serving;
 use crate::gateway::systems::spans;
 use crate::gateway::systems::stalls;
@@ -38,6 +39,7 @@
     let return_at = announcements::run(world, now, events, &mut effects);
     serving::run(world, now, events, &mut effects);
     peers::run(world, now, events, &mut effects);
+    relays::run(world, now, events, &mut effects);
     prompt_parts::run(world, now, events, &mut effects);
     let follow_at = feeds::run(world, now, &mut effects);
     let refuse_at = arrivals::run(world, now, events, &mut effects);
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -24,6 +24,7 @@
 use crate::gateway::tables::peers::MAX_PEERS;
 use crate::gateway::tables::peers::Peer;
 use crate::gateway::tables::prompt_parts::Suspects;
+use crate::gateway::tables::relays::RelayChoices;
 use crate::gateway::tables::remote_shares::RemoteShares;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::tables::retry_budgets::RetryAllowance;
@@ -192,6 +193,8 @@
     pub last_serving_fetch: Option<Timestamp>,
     /// Retries that may still be sent to each service.
     pub retry_budgets: RetryBudgets,
+    /// Gateways that relay this one's messages in other data centres.
+    pub relays: RelayChoices,
     /// This gateway's shares of what other data centres offer.
     pub remote_shares: RemoteShares,
     /// Parts of prompts that are suspected of crashing backend servers.
@@ -232,6 +235,7 @@
             peers_sweep_due: Timestamp::ZERO,
             last_serving_fetch: None,
             retry_budgets: RetryBudgets::default(),
+            relays: RelayChoices::default(),
             remote_shares: RemoteShares::default(),
             suspects: Suspects::default(),
             counters: Counters::default(),
--- a/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
@@ -13,10 +13,14 @@
 use rand::rngs::SmallRng;
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
+use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::NotRunReason;
 use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::tables::work::Work;
+use snipespan_core::gateway::tables::work::WorkOwner;
 use snipespan_core::keys::WorkKey;
 use snipespan_core::time::Timestamp;
 
@@ -31,6 +35,10 @@
 /// Time after which a gateway receives what another one sent.
 const VIEW_DELAY: Duration = Duration::from_millis(5);
 
+/// Time after which a moment without messages under way has come; far less than the second after
+/// which a snapshot makes up for lost ones.
+const SETTLED: Duration = Duration::from_millis(60);
+
 /// Time to the first event and to the end of each stream.
 const FIRST_EVENT: Duration = Duration::from_millis(100);
 const STREAM: Duration = Duration::from_millis(1500);
@@ -41,7 +49,7 @@
 
 /// What is due next in the simulation.
 enum Due {
-    Message { to: usize, from: SocketAddr, message: Box<PeerMessage> },
+    Message { to: usize, from: SocketAddr, message: Box<PeerMessage>, route: Option<MessageRoute> },
     Event { gateway: usize, work: WorkKey },
     End { gateway: usize, work: WorkKey, engine: SocketAddr },
     Unreachable { gateway: usize, work: WorkKey },
@@ -59,6 +67,9 @@
     /// Sends over a link that was cut.
     pub(crate) unreachable: usize,
     pub(crate) refused: usize,
+    /// Messages to gateways, and those of them to another data centre.
+    pub(crate) messages: usize,
+    pub(crate) messages_between: usize,
     /// Times at which requests began to leave a data centre for another, or no longer did.
     pub(crate) changes: usize,
 }
@@ -69,6 +80,10 @@
     pub(crate) counts: Counts,
     /// The data centre whose links to the others are cut.
     pub(crate) cut: Option<usize>,
+    /// Gateways that are frozen.
+    pub(crate) frozen: Vec<usize>,
+    /// Share of the messages that are lost.
+    pub(crate) loss: f64,
     now: Timestamp,
     wakes: Vec<Timestamp>,
     due: BTreeMap<Timestamp, VecDeque<Due>>,
@@ -97,6 +112,8 @@
             gateways,
             counts: Counts::default(),
             cut: None,
+            frozen: Vec::new(),
+            loss: 0.0,
             now,
             wakes: vec![Timestamp::ZERO; count],
             due: BTreeMap::new(),
@@ -129,6 +146,39 @@
         self.counts
     }
 
+    /// Returns the gateways of a data centre that relay the messages of `gateway` there.
+    pub(crate) fn relays_of(&self, gateway: usize, data_centre: usize) -> Vec<usize> {
+        let world = &self.gateways[gateway].world;
+        let found = world.data_centres.find(&name(data_centre));
+        let choice = found.and_then(|key| world.relays.get(key));
+        let relays = choice.and_then(|choice| choice.relays).into_iter().flatten();
+        let addresses = relays.filter_map(|key| world.peers.get(key)).map(|peer| peer.address);
+        addresses
+            .filter_map(|at| (0..self.gateways.len()).find(|peer| address(*peer) == at))
+            .collect()
+    }
+
+    /// Returns the largest difference between the open work that a gateway sees and that of all, as
+    /// a share of the latter. Frozen gateways have no work.
+    pub(crate) fn view_error(&self) -> f64 {
+        let is_own = |work: &Work| matches!(work.owner, WorkOwner::Own(_));
+        let of = |kit: &Kit| kit.world.work.iter().filter(|(_, work)| is_own(work)).count();
+        let all: usize = self.gateways.iter().map(of).sum();
+        let awake = (0..self.gateways.len()).filter(|gateway| !self.frozen.contains(gateway));
+        let seen = awake.map(|gateway| self.gateways[gateway].world.work.len());
+        seen.map(|seen| seen.abs_diff(all)).max().unwrap_or(0) as f64 / all.max(1) as f64
+    }
+
+    /// Fails unless there is open work and each gateway sees all of it within [`SETTLED`].
+    pub(crate) fn assert_common_view(&mut self) {
+        let until = self.now.after(SETTLED);
+        while self.view_error() > 0.0 && self.now < until {
+            self.run_until(self.now.after(Duration::from_millis(1)));
+        }
+        let seen: Vec<_> = self.gateways.iter().map(|kit| kit.world.work.len()).collect();
+        assert!(seen[0] > 0 && self.view_error() == 0.0, "{seen:?}, frozen: {:?}", self.frozen);
+    }
+
     fn arrive_until(&mut self, until: Timestamp, rates: [f64; DATA_CENTRES]) {
         let total: f64 = rates.iter().sum();
         loop {
@@ -153,6 +203,9 @@
     }
 
     fn step(&mut self, gateway: usize, events: Vec<Event>) {
+        if self.frozen.contains(&gateway) {
+            return;
+        }
         let kit = &mut self.gateways[gateway];
         kit.now = self.now;
         let wake_at = kit.step(events);
@@ -189,14 +242,19 @@
                 }
                 self.schedule(STREAM, Due::End { gateway, work, engine });
             }
-            Effect::NotifyPeers { to, message, .. } => {
+            Effect::NotifyPeers { to, message, route } => {
                 for to in to {
                     let to = (0..self.gateways.len()).find(|peer| address(*peer) == to);
                     let Some(to) = to.filter(|to| !self.is_cut(own, to / GATEWAYS_EACH)) else {
                         continue;
                     };
-                    let (from, message) = (address(gateway), message.clone());
-                    self.schedule(VIEW_DELAY, Due::Message { to, from, message });
+                    self.counts.messages += 1;
+                    self.counts.messages_between += usize::from(to / GATEWAYS_EACH != own);
+                    if self.rng.random_bool(self.loss) {
+                        continue;
+                    }
+                    let (from, message, route) = (address(gateway), message.clone(), route.clone());
+                    self.schedule(VIEW_DELAY, Due::Message { to, from, message, route });
                 }
             }
             Effect::Refuse { .. } => self.counts.refused += 1,
@@ -228,9 +286,8 @@
 
     fn handle_due(&mut self, due: Due) {
         match due {
-            Due::Message { to, from, message } => {
-                let message = *message;
-                self.step(to, vec![Event::PeerMessageReceived { from, message }]);
+            Due::Message { to, from, message, route } => {
+                self.step(to, event::received_events(from, *message, route));
             }
             Due::Event { gateway, work } => {
                 self.step(gateway, vec![Event::AttemptProgress { work }]);
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod placing;
 mod process;
 mod prompt_parts;
+mod relays;
 mod retry_budgets;
 mod serving;
 mod spans;
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -176,6 +176,10 @@
                 rate_per_s; "{message}"
             );
         }
+        Decision::RelayingChanged { data_centre, is_relayed, are_lost } => log::info!(
+            data_centre = data_centre.as_str(), is_relayed, are_lost;
+            "relaying of messages to a data centre changed"
+        ),
         Decision::StopBegan { open } => log::info!(open; "planned stop began"),
         // `log_decision` writes these.
         Decision::Rejected { .. }
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -16,7 +16,9 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header;
+use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::PeerMessage;
 use snipespan_core::gateway::serving::ServingVersion;
 use snipespan_core::gateway::world::World;
@@ -46,6 +48,9 @@
 /// free for TCP; another process may hold its number for UDP.
 const MAX_PORT_CHOICES: usize = 16;
 
+/// Maximum length of the name of a data centre in bytes.
+const MAX_NAME_BYTES: usize = 200;
+
 const SERVING_PATH: &str = "/serving";
 const METRICS_PATH: &str = "/metrics";
 
@@ -139,11 +144,12 @@
             log::debug!("could not wait for a datagram from a peer: {e}");
         }
         while let Some((length, from)) = receive_datagram(&datagrams, &mut buf) {
-            match postcard::from_bytes::<PeerMessage>(&buf[..length]) {
-                Ok(message) => {
-                    let event = Event::PeerMessageReceived { from, message };
-                    if cx.control.send(Input::Event(event)).await.is_err() {
-                        return;
+            match decode_datagram(&buf[..length]) {
+                Ok((message, route)) => {
+                    for event in event::received_events(from, message, route) {
+                        if cx.control.send(Input::Event(event)).await.is_err() {
+                            return;
+                        }
                     }
                 }
                 Err(e) => log::warn!(peer:% = from; "could not decode a datagram from a peer: {e}"),
@@ -153,6 +159,27 @@
     }
 }
 
+/// Decodes a message, and the route that follows it if the sender states one.
+fn decode_datagram(bytes: &[u8]) -> Result<(PeerMessage, Option<MessageRoute>)> {
+    let (message, rest) = postcard::take_from_bytes::<PeerMessage>(bytes)?;
+    if rest.is_empty() {
+        return Ok((message, None));
+    }
+    let route = postcard::from_bytes::<MessageRoute>(rest)?;
+    match route.data_centre.len() <= MAX_NAME_BYTES {
+        true => Ok((message, Some(route))),
+        false => Err(eyre!("the name of a data centre has {} bytes", route.data_centre.len())),
+    }
+}
+
+fn encode_datagram(message: &PeerMessage, route: Option<&MessageRoute>) -> Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(message)?;
+    if let Some(route) = route {
+        bytes.extend(postcard::to_stdvec(route)?);
+    }
+    Ok(bytes)
+}
+
 /// Returns the length and sender of a datagram that has arrived, or `None` if there is none.
 fn receive_datagram(datagrams: &UdpSocket, buf: &mut [u8]) -> Option<(usize, SocketAddr)> {
     match datagrams.try_recv_from(buf) {
@@ -206,9 +233,14 @@
 
     /// Sends `message` to all addresses in `to`; peers recover from a lost datagram by the next
     /// snapshot of this gateway's open work.
-    pub(super) fn notify(&self, to: &[SocketAddr], message: &PeerMessage) {
+    pub(super) fn notify(
+        &self,
+        to: &[SocketAddr],
+        message: &PeerMessage,
+        route: Option<&MessageRoute>,
+    ) {
         let Some(socket) = &self.socket else { return };
-        let bytes = match postcard::to_stdvec(message) {
+        let bytes = match encode_datagram(message, route) {
             Ok(bytes) => bytes,
             Err(e) => return log::error!("could not encode a message to peers: {e}"),
         };
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -145,7 +145,9 @@
                     }
                 });
             }
-            Effect::NotifyPeers { to, message } => self.link.notify(&to, &message),
+            Effect::NotifyPeers { to, message, route } => {
+                self.link.notify(&to, &message, route.as_ref());
+            }
             Effect::FetchServing { from, version } => {
                 self.runtime.spawn(peers::fetch_serving(from, version, Arc::clone(&self.cx)));
             }
@@ -230,14 +232,15 @@
         let mut events = std::mem::take(&mut self.disconnected);
         events.extend(inputs.into_iter().map(|input| self.handle_input(input)));
         let tick = tick(&mut self.world, now, &events);
-        for effect in tick.effects {
-            self.execute_effect(effect);
-        }
         if now >= self.metrics_due {
             self.metrics_due = now.after(METRICS_INTERVAL);
             self.cx.metrics.update(&self.world);
+            // Before the effects, so that messages are counted by what is known now.
             self.link.update_places(&self.world);
         }
+        for effect in tick.effects {
+            self.execute_effect(effect);
+        }
         match self.disconnected.is_empty() {
             true => tick.wake_at,
             false => Some(now),
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod configuration;
 mod crashing_part;
+mod data_centres;
 mod draining;
 mod endless;
 mod faults;
