--- a/crates/snipespan_core/src/gateway/tables/remote_shares.rs
+++ b/crates/snipespan_core/src/gateway/tables/remote_shares.rs
@@ -60,11 +60,14 @@
         self.amount / self.gateways.max(1) as f64
     }
 
-    /// Sets what the data centre offers from `now` on.
+    /// Sets what the data centre offers from `now` on; a window of zero, as the mean time of a request
+    /// is not known, leaves the window as it is.
     pub fn set_offer(&mut self, now: Timestamp, amount: f64, window: Duration, gateways: usize) {
         self.drain(now);
         self.amount = amount.max(0.0);
-        self.window = window;
+        if !window.is_zero() {
+            self.window = window;
+        }
         self.gateways = gateways;
     }
 
--- a/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
@@ -19,6 +19,7 @@
 use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::NotRunReason;
 use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::serving::DataCentreDelay;
 use snipespan_core::gateway::tables::work::Work;
 use snipespan_core::gateway::tables::work::WorkOwner;
 use snipespan_core::keys::WorkKey;
@@ -126,6 +127,17 @@
         fleet
     }
 
+    /// Sets the time that a message takes one way between any two data centres, by configuration.
+    pub(crate) fn set_delay(&mut self, one_way: Duration) {
+        let pairs = [[0, 1], [0, 2], [1, 2]].map(|pair| pair.map(name));
+        let delays = pairs.map(|between| DataCentreDelay { between, one_way }).to_vec();
+        let serving = kit::serving(2).with_delays(delays);
+        for gateway in 0..self.gateways.len() {
+            let serving = Box::new(serving.clone());
+            self.step(gateway, vec![Event::ServingReceived { serving, is_from_store: true }]);
+        }
+    }
+
     /// Lists only the engines with these numbers at all gateways.
     pub(crate) fn list_engines(&mut self, is_listed: &dyn Fn(u8) -> bool) {
         for gateway in 0..self.gateways.len() {
--- a/crates/snipespan_core/tests/gateway/leaving.rs
+++ b/crates/snipespan_core/tests/gateway/leaving.rs
@@ -44,6 +44,17 @@
     assert_eq!(counts.left, [0, left(&counts), 0], "{counts:?}");
 }
 
+/// Guards against a decision that ignores the way there: the same load, but no answer from another
+/// data centre could be on time.
+#[test]
+fn requests_stay_when_the_way_is_long() {
+    let mut fleet = Fleet::new(MB_COST);
+    fleet.set_delay(Duration::from_millis(400));
+    let counts = fleet.run([0.1 * USUAL, 1.9 * USUAL, USUAL], Duration::from_secs(5));
+    assert!(counts.crowded > 0, "{counts:?}");
+    assert_eq!(left(&counts), 0, "{counts:?}");
+}
+
 /// Guards against a data centre that keeps its load when its engines are reduced to a third, and
 /// against gateways that together flood the two others, which have little room.
 #[test]
