Leaving: requests of plain services stay while a slot is free here

The estimate at a plain service contains a part that only spreads requests over free slots. It counted as a gain of the caller, so that a request left a backend server with 15 of 16 slots in use for an idle one elsewhere. The decision to leave now counts only the wait for a slot and the way there.

Measured: plain_request_leaves passes in both cases, and the other load patterns of leaving.rs pass.

--- a/crates/snipespan_core/src/gateway/systems/leaving.rs
+++ b/crates/snipespan_core/src/gateway/systems/leaving.rs
@@ -242,7 +242,7 @@
         // The loss of others and the gathering of short prompts are no loss of the caller.
         let caller_loss = match engine {
             Some(_) => prediction::late_loss(first_event_ms, request) * value_of(request),
-            None => loss + plain_delay_loss(world, row, request),
+            None => plain_caller_loss(world, row, request, loss),
         };
         offer.loss = Some(offer.loss.map_or(caller_loss, |least| least.min(caller_loss)));
     }
@@ -266,11 +266,15 @@
     row.work.iter().filter(|key| is_outside(key)).count()
 }
 
-/// Returns the loss at a plain service by the round trip to its data centre, less the cost that its
-/// estimate contains.
-fn plain_delay_loss(world: &World, row: &BackendServer, request: &Request) -> f64 {
+/// Returns the loss of the caller at a plain service whose estimated loss is `loss`: without the cost
+/// of leaving, and without the part that only spreads requests over free slots, as a call there takes
+/// the same time.
+fn plain_caller_loss(world: &World, row: &BackendServer, request: &Request, loss: f64) -> f64 {
+    let slots = f64::from(row.listing.slots.max(1));
+    let spreading = prediction::LINEAR_LOSS * row.work.len() as f64 / slots;
     let goal_ms = (request.latency_goal.as_secs_f64() * 1e3).max(1.0);
-    prediction::LINEAR_LOSS * round_trip_ms(world, row) / goal_ms - remote_loss(world, row)
+    let delay = prediction::LINEAR_LOSS * round_trip_ms(world, row) / goal_ms;
+    (loss - remote_loss(world, row) - spreading).max(0.0) + delay
 }
 
 /// Apportions what other data centres offer to requests of a service among the gateways outside
--- a/crates/snipespan_core/tests/gateway/leaving.rs
+++ b/crates/snipespan_core/tests/gateway/leaving.rs
@@ -4,12 +4,18 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::event::Listing;
 
 use crate::data_centre_fleet::Counts;
 use crate::data_centre_fleet::FULL_RATE;
 use crate::data_centre_fleet::Fleet;
 use crate::data_centre_fleet::is_engine_of;
+use crate::kit;
+use crate::kit::Kit;
+use crate::kit::PLAIN;
 
 /// Cost of 1 MB in values of a short request, as in the users' deployments.
 const MB_COST: Option<f64> = Some(1.7);
@@ -96,6 +102,33 @@
     assert_eq!((left(&quiet), quiet.changes), (0, 0), "{quiet:?}");
 }
 
+/// Guards against requests of a plain service that leave although a slot is free here, and against
+/// others that wait here for one: the backend server here has 16 slots, the other one is idle.
+#[rstest]
+#[case::slot_free(15, None)]
+#[case::all_in_use(24, Some("full"))]
+fn plain_request_leaves(#[case] open: u64, #[case] reason: Option<&str>) {
+    let mut kit = Kit::new(0);
+    kit.world.settings.remote_mb_cost = MB_COST;
+    let listings = [(1, "graz-a"), (2, "graz-b")].map(|(number, data_centre)| Listing {
+        data_centre: data_centre.into(),
+        ..kit::listing(PLAIN, number)
+    });
+    let read = kit.listings_read(listings.to_vec());
+    kit.step(vec![read]);
+    kit::hold_work(&mut kit, PLAIN, 1, open);
+    let (_, dispatch) = kit.send("/look/1", 0);
+    assert_eq!(dispatch.instance, if reason.is_some() { "orders-2" } else { "orders-1" });
+    let left = kit.effects.iter().find_map(|effect| match effect {
+        Effect::LogDecision(decision) => match &**decision {
+            Decision::Placed { left_data_centre, .. } => Some(*left_data_centre),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(left.flatten().map(|reason| reason.to_string()).as_deref(), reason);
+}
+
 /// Guards against messages between gateways that change where no cost is set, or requests that stay
 /// there as if one were.
 #[test]
