--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -13,6 +13,7 @@
 use crate::gateway::systems::availability::ObstacleCounts;
 use crate::gateway::systems::availability::SendObstacle;
 use crate::gateway::systems::deferral::Deferral;
+use crate::gateway::systems::leaving::LeaveReason;
 use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::peers::GatewayView;
 use crate::gateway::tables::prompt_parts::PromptPart;
@@ -97,6 +98,8 @@
         open_work: usize,
         /// Smoothed ratio of observed to predicted time to the first event at the backend server.
         slowdown: f64,
+        /// Why it left its data centre; `None` if it stayed.
+        left_data_centre: Option<LeaveReason>,
         /// Number of backend servers that could have been chosen.
         candidates: usize,
         /// The serving configuration that was applied.
@@ -379,6 +382,32 @@
         /// How much later.
         delay: Duration,
     },
+    /// Requests of a service begin to leave for another data centre, or no longer do.
+    LeavingChanged {
+        /// The other data centre.
+        data_centre: CompactString,
+        /// The service.
+        service: CompactString,
+        /// Whether they leave from now on.
+        is_leaving: bool,
+        /// What the request that changed it gains by leaving, in values of a request with an empty
+        /// prompt.
+        gain: f64,
+        /// What its bytes cost, in the same unit.
+        cost: f64,
+        /// Requests a second that this gateway may send there.
+        rate_per_s: f64,
+    },
+    /// Messages to the gateways of another data centre are relayed there from now on, or sent to
+    /// each of them.
+    RelayingChanged {
+        /// The data centre.
+        data_centre: CompactString,
+        /// Whether they are relayed.
+        is_relayed: bool,
+        /// Whether both relays fell silent.
+        are_lost: bool,
+    },
     /// A planned stop began.
     StopBegan {
         /// Number of open requests.
--- a/crates/snipespan_core/src/gateway/tables.rs
+++ b/crates/snipespan_core/src/gateway/tables.rs
@@ -6,6 +6,8 @@
 pub mod memory_budget;
 pub mod peers;
 pub mod prompt_parts;
+pub mod relays;
+pub mod remote_shares;
 pub mod requests;
 pub mod retry_budgets;
 pub mod shared_rates;
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -26,6 +26,8 @@
 use crate::gateway::tables::peers::MAX_PEERS;
 use crate::gateway::tables::peers::Peer;
 use crate::gateway::tables::prompt_parts::Suspects;
+use crate::gateway::tables::relays::RelayChoices;
+use crate::gateway::tables::remote_shares::RemoteShares;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::tables::retry_budgets::RetryAllowance;
 use crate::gateway::tables::shared_rates::SharedRates;
@@ -139,6 +141,14 @@
     pub bodies_refused: u64,
     /// Streamed answers that ended because their client did not read them.
     pub answers_unread: u64,
+    /// Sends that left the data centre because no backend server here had a free slot.
+    pub left_full: u64,
+    /// Sends that left the data centre because an answer was expected sooner elsewhere.
+    pub left_faster: u64,
+    /// Sends that left the data centre because no backend server here could get them.
+    pub left_none_here: u64,
+    /// Sends that left the data centre without a decision on that.
+    pub left_undecided: u64,
 }
 
 /// Control state of a gateway.
@@ -205,6 +215,10 @@
     pub gateway_view: GatewayView,
     /// Rates that all gateways share: retries to each service, requests to cold backend servers.
     pub shared_rates: SharedRates,
+    /// Gateways that relay this one's messages in other data centres.
+    pub relays: RelayChoices,
+    /// This gateway's shares of what other data centres offer.
+    pub remote_shares: RemoteShares,
     /// Parts of prompts that are suspected of crashing backend servers.
     pub suspects: Suspects,
     /// Counts of events, for the metrics.
@@ -246,6 +260,8 @@
             last_serving_fetch: None,
             gateway_view: GatewayView::default(),
             shared_rates: SharedRates::default(),
+            relays: RelayChoices::default(),
+            remote_shares: RemoteShares::default(),
             suspects: Suspects::default(),
             counters: Counters::default(),
         }
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -86,6 +86,7 @@
         stop_limit: Duration::from_secs(8),
         max_reservation_ttl: Duration::from_secs(20),
         memory_limit: None,
+        remote_mb_cost: None,
         seed: 7,
     }
 }
--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -78,6 +78,8 @@
     let mut regions = ini.named_values("data_centres", REGION_ALLOWED, |_| true);
     regions.retain(|(_, region)| !region.is_empty());
     let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, parse_memory);
+    let remote_mb_cost =
+        ini.optional(section, "remote_mb_cost", NON_NEGATIVE_ALLOWED, parse_non_negative);
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -91,6 +93,7 @@
         stop_limit,
         max_reservation_ttl,
         memory_limit,
+        remote_mb_cost,
         seed: 0,
     };
     Some(GatewayRole {
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod body;
+mod byte_meters;
 mod client_stream;
 mod clients;
 mod decisions;
--- a/crates/snipespand/src/gateway/metrics.rs
+++ b/crates/snipespand/src/gateway/metrics.rs
@@ -11,6 +11,10 @@
 use prometheus::TextEncoder;
 use snipespan_core::gateway::world::Counters;
 use snipespan_core::gateway::world::World;
+use snipespan_platform_adapter::byte_meter::ByteMeter;
+
+use crate::gateway::byte_meters::ByteMeters;
+use crate::gateway::byte_meters::Place;
 
 use crate::gateway::memory::Memory;
 
@@ -23,6 +27,9 @@
 #[derive(Debug)]
 pub(super) struct GatewayMetrics {
     registry: Registry,
+    /// Meters of connections, which are collected before the metrics are served.
+    pub(super) meters: ByteMeters,
+    bytes: IntCounterVec,
     events: IntCounterVec,
     levels: IntGaugeVec,
     first_byte: HistogramVec,
@@ -37,13 +44,17 @@
         let events = IntCounterVec::new(events, &["kind"])?;
         let levels = Opts::new("snipespan_level", "What is open or in view now, by kind");
         let levels = IntGaugeVec::new(levels, &["kind"])?;
+        let bytes = Opts::new("snipespan_bytes_total", "Bytes exchanged, by kind and place");
+        let bytes = IntCounterVec::new(bytes, &["kind", "place"])?;
         let first_byte = histogram("snipespan_first_byte_seconds", "Time to the first byte")?;
         let duration = histogram("snipespan_request_seconds", "Time to the final answer")?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(levels.clone()))?;
+        registry.register(Box::new(bytes.clone()))?;
         registry.register(Box::new(first_byte.clone()))?;
         registry.register(Box::new(duration.clone()))?;
-        Ok(Self { registry, events, levels, first_byte, duration })
+        let meters = ByteMeters::default();
+        Ok(Self { registry, meters, bytes, events, levels, first_byte, duration })
     }
 
     /// Increments the event counter of a kind.
@@ -51,6 +62,25 @@
         self.events.with_label_values(&[kind]).inc();
     }
 
+    /// Counts bytes of a kind that were exchanged with a place.
+    pub(super) fn add_bytes(&self, kind: &str, place: Place, bytes: u64) {
+        if bytes > 0 {
+            self.bytes.with_label_values(&[kind, &place.to_string()]).inc_by(bytes);
+        }
+    }
+
+    fn collect_bytes(&self) {
+        let collect = |meter: &ByteMeter, place: Place, sent: &str, received: &str| {
+            let counts = meter.take();
+            self.add_bytes(sent, place, counts.sent);
+            self.add_bytes(received, place, counts.received);
+        };
+        for place in [Place::Same, Place::Other, Place::Unknown] {
+            collect(self.meters.backend(place), place, "backend_requests", "backend_answers");
+        }
+        collect(&self.meters.store, Place::Unknown, "store_requests", "store_answers");
+    }
+
     /// Records the time in seconds from a request's arrival to the first byte of its answer; `kind`
     /// is `streaming` or `plain`.
     pub(super) fn observe_first_byte(&self, kind: &str, seconds: f64) {
@@ -84,6 +114,10 @@
             cold_refusals,
             bodies_refused,
             answers_unread,
+            left_full,
+            left_faster,
+            left_none_here,
+            left_undecided,
         } = world.counters;
         let counts = [
             ("requests_arrived", arrivals),
@@ -104,6 +138,10 @@
             ("cold_refusals", cold_refusals),
             ("bodies_refused", bodies_refused),
             ("answers_unread", answers_unread),
+            ("left_full", left_full),
+            ("left_faster", left_faster),
+            ("left_none_here", left_none_here),
+            ("left_undecided", left_undecided),
         ];
         for (kind, value) in counts {
             let counter = self.events.with_label_values(&[kind]);
@@ -128,6 +166,7 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn render(&self) -> Result<Vec<u8>> {
+        self.collect_bytes();
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -16,9 +16,12 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header;
+use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::PeerMessage;
 use snipespan_core::gateway::serving::ServingVersion;
+use snipespan_core::gateway::world::World;
 use snipespan_platform_adapter::configuration;
 use snipespan_platform_adapter::connection::Connection;
 use snipespan_settings::gateway::GatewayRole;
@@ -26,6 +29,9 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::GatewayContext;
+use crate::gateway::byte_meters;
+use crate::gateway::byte_meters::Place;
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::shell::Input;
 
 /// Size of the receive buffer for a datagram in bytes; those that gateways send are far smaller.
@@ -42,6 +48,9 @@
 /// free for TCP; another process may hold its number for UDP.
 const MAX_PORT_CHOICES: usize = 16;
 
+/// Maximum length of the name of a data centre in bytes.
+const MAX_NAME_BYTES: usize = 200;
+
 const SERVING_PATH: &str = "/serving";
 const METRICS_PATH: &str = "/metrics";
 
@@ -82,10 +91,10 @@
     /// duplicated.
     pub(super) fn sender(&self) -> PeerSender {
         match self.sender.try_clone() {
-            Ok(socket) => PeerSender { socket: Some(socket) },
+            Ok(socket) => PeerSender::new(Some(socket), Arc::clone(&self.cx.metrics)),
             Err(e) => {
                 log::error!("could not clone the socket to peers, so none is notified: {e}");
-                PeerSender { socket: None }
+                PeerSender::new(None, Arc::clone(&self.cx.metrics))
             }
         }
     }
@@ -135,11 +144,12 @@
             log::debug!("could not wait for a datagram from a peer: {e}");
         }
         while let Some((length, from)) = receive_datagram(&datagrams, &mut buf) {
-            match postcard::from_bytes::<PeerMessage>(&buf[..length]) {
-                Ok(message) => {
-                    let event = Event::PeerMessageReceived { from, message };
-                    if cx.control.send(Input::Event(event)).await.is_err() {
-                        return;
+            match decode_datagram(&buf[..length]) {
+                Ok((message, route)) => {
+                    for event in event::received_events(from, message, route) {
+                        if cx.control.send(Input::Event(event)).await.is_err() {
+                            return;
+                        }
                     }
                 }
                 Err(e) => log::warn!(peer:% = from; "could not decode a datagram from a peer: {e}"),
@@ -149,6 +159,27 @@
     }
 }
 
+/// Decodes a message, and the route that follows it if the sender states one.
+fn decode_datagram(bytes: &[u8]) -> Result<(PeerMessage, Option<MessageRoute>)> {
+    let (message, rest) = postcard::take_from_bytes::<PeerMessage>(bytes)?;
+    if rest.is_empty() {
+        return Ok((message, None));
+    }
+    let route = postcard::from_bytes::<MessageRoute>(rest)?;
+    match route.data_centre.len() <= MAX_NAME_BYTES {
+        true => Ok((message, Some(route))),
+        false => Err(eyre!("the name of a data centre has {} bytes", route.data_centre.len())),
+    }
+}
+
+fn encode_datagram(message: &PeerMessage, route: Option<&MessageRoute>) -> Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(message)?;
+    if let Some(route) = route {
+        bytes.extend(postcard::to_stdvec(route)?);
+    }
+    Ok(bytes)
+}
+
 /// Returns the length and sender of a datagram that has arrived, or `None` if there is none.
 fn receive_datagram(datagrams: &UdpSocket, buf: &mut [u8]) -> Option<(usize, SocketAddr)> {
     match datagrams.try_recv_from(buf) {
@@ -166,17 +197,54 @@
 #[derive(Debug)]
 pub(super) struct PeerSender {
     socket: Option<StdUdpSocket>,
+    metrics: Arc<GatewayMetrics>,
+    /// Places of the peers whose data centre is known, by ascending address.
+    places: Vec<(SocketAddr, Place)>,
 }
 
 impl PeerSender {
+    const fn new(socket: Option<StdUdpSocket>, metrics: Arc<GatewayMetrics>) -> Self {
+        Self { socket, metrics, places: Vec::new() }
+    }
+
+    /// Updates the places of the peers, by which bytes are counted.
+    pub(super) fn update_places(&mut self, world: &World) {
+        self.places.clear();
+        let known = world.peers.iter().filter_map(|(_, peer)| {
+            let data_centre = world.data_centres.rows.get(peer.data_centre?)?;
+            Some((peer.address, Place::of_data_centre(world, &data_centre.name)))
+        });
+        self.places.extend(known);
+        self.places.sort_by_key(|(address, _)| *address);
+    }
+
+    fn place_of(&self, address: SocketAddr) -> Place {
+        let found = self.places.binary_search_by_key(&address, |(known, _)| *known);
+        found.map_or(Place::Unknown, |index| self.places[index].1)
+    }
+
+    fn count_bytes(&self, to: &[SocketAddr], message: &PeerMessage, bytes: usize) {
+        let kind = byte_meters::message_kind(&message.update);
+        for place in [Place::Same, Place::Other, Place::Unknown] {
+            let receivers = to.iter().filter(|address| self.place_of(**address) == place).count();
+            self.metrics.add_bytes(kind, place, (receivers * bytes) as u64);
+        }
+    }
+
     /// Sends `message` to all addresses in `to`; peers recover from a lost datagram by the next
     /// snapshot of this gateway's open work.
-    pub(super) fn notify(&self, to: &[SocketAddr], message: &PeerMessage) {
+    pub(super) fn notify(
+        &self,
+        to: &[SocketAddr],
+        message: &PeerMessage,
+        route: Option<&MessageRoute>,
+    ) {
         let Some(socket) = &self.socket else { return };
-        let bytes = match postcard::to_stdvec(message) {
+        let bytes = match encode_datagram(message, route) {
             Ok(bytes) => bytes,
             Err(e) => return log::error!("could not encode a message to peers: {e}"),
         };
+        self.count_bytes(to, message, bytes.len());
         for address in to {
             if let Err(e) = socket.send_to(&bytes, address) {
                 log::debug!(peer:% = address; "could not send a datagram to a peer: {e}");
@@ -189,7 +257,11 @@
     let serving = cx.encoded_serving.borrow().clone();
     match serving.bytes.is_empty() {
         true => Err(StatusCode::NOT_FOUND),
-        false => Ok(serving.bytes),
+        false => {
+            let bytes = serving.bytes.len() as u64;
+            cx.metrics.add_bytes("configurations", Place::Unknown, bytes);
+            Ok(serving.bytes)
+        }
     }
 }
 
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -19,6 +19,8 @@
 use snipespan_core::keys::WorkKey;
 use snipespan_core::result_code::ResultCode;
 use snipespan_core::time::Timestamp;
+use snipespan_platform_adapter::byte_meter::ByteCounts;
+use snipespan_platform_adapter::byte_meter::ByteMeter;
 use snipespan_platform_adapter::headers;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -28,6 +30,7 @@
 use crate::gateway::answer;
 use crate::gateway::answer::AnswerBody;
 use crate::gateway::answer::BodyPart;
+use crate::gateway::byte_meters::Place;
 use crate::gateway::events::EventFramer;
 use crate::gateway::events::Progress;
 use crate::gateway::exchange::AttemptError;
@@ -89,6 +92,8 @@
     failure_answer: Option<FailureAnswer>,
     /// Whether the open attempt was withdrawn in case it was not sent.
     is_withdrawn: bool,
+    /// Counts the bytes of the open attempt.
+    meter: ByteMeter,
     /// Memory that the part of the answer takes that was not passed on yet.
     share: Lease,
     arrived_at: Timestamp,
@@ -124,6 +129,7 @@
             is_streaming: false,
             failure_answer: None,
             is_withdrawn: false,
+            meter: ByteMeter::default(),
             share: cx.memory.lease(MemoryUse::Answer),
             arrived_at: now,
             reported_at: now,
@@ -158,11 +164,13 @@
                     self.is_streaming = is_streaming;
                     return Flow::Continue;
                 }
-                Some(Order::Send(dispatch)) => match self.run_attempt(*dispatch).await {
-                    AfterAttempt::Execute(order) => next = order,
-                    AfterAttempt::Wait => return Flow::Continue,
-                    AfterAttempt::Done => return Flow::Done,
-                },
+                Some(Order::Send { dispatch, place }) => {
+                    match self.run_attempt(*dispatch, place).await {
+                        AfterAttempt::Execute(order) => next = order,
+                        AfterAttempt::Wait => return Flow::Continue,
+                        AfterAttempt::Done => return Flow::Done,
+                    }
+                }
                 Some(Order::Refuse { code, retry_after }) => {
                     self.end_with_code(code, retry_after);
                     return Flow::Done;
@@ -224,10 +232,12 @@
     }
 
     /// Runs one attempt until it ends or another order arrives.
-    async fn run_attempt(&mut self, dispatch: Dispatch) -> AfterAttempt {
+    async fn run_attempt(&mut self, dispatch: Dispatch, place: Place) -> AfterAttempt {
         let work = dispatch.work;
         let instance_hash = dispatch.instance_hash;
-        let mut exchange = Exchange::new(self.build_outbound(&dispatch), self.cx.clock);
+        let meter = self.cx.metrics.meters.backend(place).child();
+        self.meter = meter.clone();
+        let mut exchange = Exchange::new(self.build_outbound(&dispatch), self.cx.clock, meter);
         let mut partial = PartialAnswer::default();
         self.events.drop_partial();
         self.is_withdrawn = false;
@@ -347,6 +357,8 @@
 
     async fn report_completed(&self, work: WorkKey) {
         let longest_gap = self.longest_gap;
+        let ByteCounts { sent, received } = self.meter.counts();
+        self.report(Event::AttemptBytes { work, bytes: sent + received }).await;
         self.report(Event::AttemptCompleted { work, longest_gap }).await;
     }
 
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -29,6 +29,7 @@
 use crate::control::ControlState;
 use crate::gateway::ConnectionPolicy;
 use crate::gateway::GatewayContext;
+use crate::gateway::byte_meters::Place;
 use crate::gateway::decisions;
 use crate::gateway::peers;
 use crate::gateway::peers::PeerSender;
@@ -62,7 +63,7 @@
     /// The request was admitted.
     Admitted { request: RequestKey, is_streaming: bool },
     /// Send the request to a backend server.
-    Send(Box<Dispatch>),
+    Send { dispatch: Box<Dispatch>, place: Place },
     /// Cancel the open attempt.
     DropAttempt,
     /// Withdraw the open attempt unless it was sent.
@@ -111,7 +112,10 @@
                 }
                 self.send_order(caller, Order::Admitted { request, is_streaming });
             }
-            Effect::Send { caller, dispatch } => self.send_order(caller, Order::Send(dispatch)),
+            Effect::Send { caller, dispatch } => {
+                let place = Place::of_backend_server(&self.world, &dispatch.instance);
+                self.send_order(caller, Order::Send { dispatch, place });
+            }
             Effect::DropAttempt { caller } => self.send_order(caller, Order::DropAttempt),
             Effect::DropUnsentAttempt { caller } => self.send_order(caller, Order::DropUnsent),
             Effect::Refuse { caller, code, retry_after } => {
@@ -141,7 +145,9 @@
                     }
                 });
             }
-            Effect::NotifyPeers { to, message } => self.link.notify(&to, &message),
+            Effect::NotifyPeers { to, message, route } => {
+                self.link.notify(&to, &message, route.as_ref());
+            }
             Effect::FetchServing { from, version } => {
                 self.runtime.spawn(peers::fetch_serving(from, version, Arc::clone(&self.cx)));
             }
@@ -226,12 +232,14 @@
         let mut events = std::mem::take(&mut self.disconnected);
         events.extend(inputs.into_iter().map(|input| self.handle_input(input)));
         let tick = tick(&mut self.world, now, &events);
-        for effect in tick.effects {
-            self.execute_effect(effect);
-        }
         if now >= self.metrics_due {
             self.metrics_due = now.after(METRICS_INTERVAL);
             self.cx.metrics.update(&self.world, &self.cx.memory);
+            // Before the effects, so that messages are counted by what is known now.
+            self.link.update_places(&self.world);
+        }
+        for effect in tick.effects {
+            self.execute_effect(effect);
         }
         match self.disconnected.is_empty() {
             true => tick.wake_at,
