--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 use slotmap::SlotMap;
+use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Dispatch;
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::engine::EngineSpec;
@@ -133,18 +134,32 @@
 /// Returns a serving configuration with these routes, the services [`ENGINE`] and [`PLAIN`] and one
 /// client account.
 pub(crate) fn serving_with(version: u64, routes: Vec<Route>) -> ServingConfiguration {
-    serving_of(version, routes, None)
+    serving_of(version, routes, None, Vec::new())
 }
 
 /// Returns the configuration of [`serving`] with a rate for cold backend servers.
 pub(crate) fn serving_with_cold_rate(version: u64, cold_rate: f64) -> ServingConfiguration {
-    serving_of(version, routes(), Some(cold_rate))
+    serving_of(version, routes(), Some(cold_rate), Vec::new())
 }
 
-fn serving_of(version: u64, routes: Vec<Route>, cold_rate: Option<f64>) -> ServingConfiguration {
+/// Returns a configuration as [`serving_with`] does, whose account has these home regions.
+pub(crate) fn serving_with_home(
+    version: u64,
+    routes: Vec<Route>,
+    home_regions: Vec<CompactString>,
+) -> ServingConfiguration {
+    serving_of(version, routes, None, home_regions)
+}
+
+fn serving_of(
+    version: u64,
+    routes: Vec<Route>,
+    cold_rate: Option<f64>,
+    home_regions: Vec<CompactString>,
+) -> ServingConfiguration {
     let engine = Service { name: ENGINE.into(), engine: Some(ENGINE_SPEC), cold_rate };
     let plain = Service { name: PLAIN.into(), engine: None, cold_rate };
-    let account = Account { name: "account-1".into(), priority: None, home_regions: Vec::new() };
+    let account = Account { name: "account-1".into(), priority: None, home_regions };
     let limits = ClientLimits {
         header_bytes: 16 << 10,
         body_bytes: 4 << 20,
@@ -309,6 +324,15 @@
         sent.into_iter().next().expect("exactly one send")
     }
 
+    /// Returns the decisions that were logged in the last tick.
+    pub(crate) fn decisions(&self) -> Vec<&Decision> {
+        let logged = self.effects.iter().filter_map(|effect| match effect {
+            Effect::LogDecision(decision) => Some(&**decision),
+            _ => None,
+        });
+        logged.collect()
+    }
+
     /// Returns the result codes of the requests that were refused in the last tick.
     pub(crate) fn refused(&self) -> Vec<ResultCode> {
         let refused = self.effects.iter().filter_map(|effect| match effect {
