Test of a gateway process before a cold backend server

Cause: only the decisions were tested, not the way from a listing and from the header Cold-Ms to them.

Change: a process with a backend server that is cold by its listing, or by its answers, is held to the rate and refuses the rest.

--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod announcements;
 mod answers;
+mod cold_servers;
 mod configuration;
 mod crashing_part;
 mod draining;
