--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -17,6 +17,9 @@
     MiB, GiB (such as 260MB)";
 const NON_NEGATIVE_ALLOWED: &str = "a number of at least 0";
 
+/// Start of a field of the template that was not filled in.
+const UNFILLED_FIELD: &str = "{{";
+
 /// Settings of the gateway role.
 #[derive(Clone, Debug)]
 pub struct GatewayRole {
@@ -70,7 +73,11 @@
     let retry_window = ini.duration_or_zero(section, "retry_window", Duration::from_secs(10));
     let stop_limit = ini.duration_or_zero(section, "stop_limit", Duration::from_secs(8));
     let max_reservation_ttl = ini.duration_or_zero(section, "max_hold", Duration::from_secs(20));
-    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, parse_memory);
+    // Renderers of the template that know no sections leave a field in place that the deployment
+    // does not state; a gateway that refused it could not start.
+    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, |text| {
+        if text.starts_with(UNFILLED_FIELD) { Some(None) } else { parse_memory(text).map(Some) }
+    });
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -80,7 +87,7 @@
         retry_window,
         stop_limit,
         max_reservation_ttl,
-        memory_limit,
+        memory_limit: memory_limit.flatten(),
         seed: 0,
     };
     Some(GatewayRole {
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -173,3 +173,17 @@
     let errors = load(&GATEWAY.replace(from, to)).expect_err("an error");
     assert!(errors.to_string().contains(message), "{errors}");
 }
+
+/// Guards against a gateway whose memory budget is that of another unit, and against one that cannot
+/// start as the deployment states no limit and the template's renderer left the field in place.
+#[rstest]
+#[case::bytes("260000000", Some(260_000_000))]
+#[case::decimal("260MB", Some(260_000_000))]
+#[case::binary("256MiB", Some(256 << 20))]
+#[case::fraction("0.5GB", Some(500_000_000))]
+#[case::unfilled("{{limits.memory_mb}}MB", None)]
+fn load_gateway_memory_limit(#[case] text: &str, #[case] expected: Option<u64>) {
+    let settings = load(&format!("{GATEWAY}memory_limit = {text}\n")).expect("no errors");
+    let RoleSettings::Gateway(gateway) = settings.role else { unreachable!("a gateway") };
+    assert_eq!(gateway.decision_settings.memory_limit, expected);
+}
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -157,6 +157,7 @@
     tokio::spawn(forward_stop(control, stopping));
     log::info!(
         vm = settings.vm.0.as_str(), data_centre = settings.data_centre.0.as_str(),
+        memory_limit = role.decision_settings.memory_limit.unwrap_or_default(),
         clients:%, ready:% = ready_at, peers:%, store:% = role.store; "gateway started"
     );
     // The receiver is dropped if nobody needs the addresses.
