Gateway: delivery of answers in a file of its own; refused long bodies are discarded

A body that is longer than the operator allows is discarded like one without memory, as its stated length is now refused before it is read.

unread_body_is_given_up_at_deadline: a backend server that does not read a body of 4 MiB costs its memory until the request's deadline only; the gauge is 0 after it.

--- a/crates/snipespand/src/gateway/clients.rs
+++ b/crates/snipespand/src/gateway/clients.rs
@@ -177,15 +177,21 @@
     rest: Incoming,
 ) -> Response<AnswerBody> {
     let (id, code) = (&fields.id, error.code());
-    let BodyError::Refused { refusal, bytes, waited } = error else {
-        log::info!(request = id.as_str(), code:% = code; "rejected: body unread");
-        return answer::error_response(id, code, None);
+    let limit = fields.time_limit.unwrap_or(body::DEFAULT_TIME_LIMIT);
+    let remaining = limit.saturating_sub(cx.clock.now().since(received));
+    let (refusal, bytes, waited) = match error {
+        BodyError::Refused { refusal, bytes, waited } => (refusal, bytes, waited),
+        BodyError::TooLong | BodyError::TimedOut | BodyError::Broken => {
+            log::info!(request = id.as_str(), code:% = code; "rejected: body unread");
+            if error == BodyError::TooLong {
+                tokio::spawn(body::discard(rest, remaining));
+            }
+            return answer::error_response(id, code, None);
+        }
     };
+    tokio::spawn(body::discard(rest, remaining));
     let event = Event::BodyRefused { id: id.clone(), refusal, bytes, waited };
     // Sending fails only after the control thread has ended, when nothing needs the event.
     let _ = cx.control.send(Input::Event(event)).await;
-    let limit = fields.time_limit.unwrap_or(body::DEFAULT_TIME_LIMIT);
-    let remaining = limit.saturating_sub(cx.clock.now().since(received));
-    tokio::spawn(body::discard(rest, remaining));
     answer::error_response(id, code, Some(ending::retry_after(code, remaining)))
 }
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -1,6 +1,7 @@
 //! The task of one request: forwards it to backend servers as the control thread orders, and their
 //! answer to the client.
 
+mod delivery;
 mod inbound;
 mod partial_answer;
 
@@ -22,7 +23,6 @@
 use snipespan_platform_adapter::headers;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::time::sleep;
 
 use crate::gateway::GatewayContext;
 use crate::gateway::answer;
@@ -35,7 +35,6 @@
 use crate::gateway::exchange::ExchangeEvent;
 use crate::gateway::exchange::OutboundRequest;
 use crate::gateway::memory::Lease;
-use crate::gateway::memory::MemoryExhausted;
 use crate::gateway::shell::Input;
 use crate::gateway::shell::MAX_QUEUED_ORDERS;
 use crate::gateway::shell::Order;
@@ -44,10 +43,6 @@
 pub(super) use self::inbound::InboundRequest;
 use self::partial_answer::PartialAnswer;
 
-/// Maximum number of parts of an answer that wait for a slow client; beyond it nothing more is read
-/// from the backend server.
-const MAX_QUEUED_PARTS: usize = 16;
-
 /// Minimum interval between reports of the progress of a stream, in microseconds; a small fraction
 /// of the shortest silence that counts as a stall.
 const PROGRESS_INTERVAL_US: u64 = 250_000;
@@ -204,20 +199,6 @@
         }
     }
 
-    /// Counts the memory that the answer takes; waits for some to be given back if there is none.
-    async fn count_memory(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
-        self.share.resize_within(bytes as u64, self.cx.unread_limit()).await
-    }
-
-    /// Ends the answer of a client that does not read it; the attempt ends with it. Dropping the
-    /// sender of the parts makes the client's connection end with an error.
-    async fn end_unread(&mut self) {
-        self.output = Output::Closed;
-        if let Some(request) = self.request {
-            self.report(Event::AnswerUnread { request, waited: self.cx.unread_limit() }).await;
-        }
-    }
-
     async fn report(&self, event: Event) {
         // Sending fails only after the control thread has ended, when nothing needs the event.
         let _ = self.cx.control.send(Input::Event(event)).await;
@@ -393,66 +374,6 @@
         self.deliver_events().await
     }
 
-    /// Sends the head of a streamed answer unless it was sent before; a later attempt continues the
-    /// same answer.
-    fn open_stream(&mut self, partial: &PartialAnswer, now: Timestamp) {
-        if !matches!(self.output, Output::HeadPending(_)) {
-            return;
-        }
-        let (parts_tx, parts) = mpsc::channel(MAX_QUEUED_PARTS);
-        let output = std::mem::replace(&mut self.output, Output::Streaming(parts_tx));
-        if let Output::HeadPending(head) = output {
-            let response = answer::streamed_response(partial.status, &partial.headers, parts);
-            // If the client has disconnected, the closed queue of parts shows it.
-            let _ = head.send(response);
-            let seconds = now.since(self.arrived_at).as_secs_f64();
-            self.cx.metrics.observe_first_byte("streaming", seconds);
-        }
-    }
-
-    /// Sends the complete events that the client does not have yet. If an order arrives while the
-    /// queue to the client is full, it interrupts this and the events stay undelivered.
-    async fn deliver_events(&mut self) -> AttemptStatus {
-        let Output::Streaming(parts) = &self.output else { return AttemptStatus::InProgress };
-        if self.events.undelivered().is_empty() {
-            return AttemptStatus::InProgress;
-        }
-        tokio::select! {
-            biased;
-            permit = parts.reserve() => {
-                if let Ok(permit) = permit {
-                    let bytes = self.events.take_undelivered();
-                    permit.send(BodyPart::Bytes(self.share.attach(bytes)));
-                }
-                AttemptStatus::InProgress
-            }
-            () = sleep(self.cx.unread_limit()) => AttemptStatus::Unread,
-            order = next_interrupt(&mut self.orders, &mut self.is_withdrawn) => {
-                AttemptStatus::Interrupted(order)
-            }
-        }
-    }
-
-    /// Ends a complete streamed answer. If an order arrives while the queue to the client is full,
-    /// it interrupts this.
-    async fn end_stream(&mut self) -> AttemptStatus {
-        let Output::Streaming(parts) = &self.output else { return AttemptStatus::Ended };
-        tokio::select! {
-            biased;
-            permit = parts.reserve() => {
-                if let Ok(permit) = permit {
-                    permit.send(BodyPart::End);
-                }
-            }
-            () = sleep(self.cx.unread_limit()) => return AttemptStatus::Unread,
-            order = next_interrupt(&mut self.orders, &mut self.is_withdrawn) => {
-                return AttemptStatus::Interrupted(order);
-            }
-        }
-        self.output = Output::Closed;
-        AttemptStatus::Ended
-    }
-
     async fn finish_answer(&mut self, work: WorkKey, partial: &mut PartialAnswer) -> AttemptStatus {
         if partial.is_stream {
             // There is no last id if no event had one and the client sent none; such a stream is
@@ -519,20 +440,6 @@
     Unread,
 }
 
-/// Waits for an order that interrupts an attempt, also one that was sent, and records whether it was
-/// withdrawn in case it was not.
-async fn next_interrupt(
-    orders: &mut mpsc::Receiver<Order>,
-    is_withdrawn: &mut bool,
-) -> Option<Order> {
-    loop {
-        match orders.recv().await {
-            Some(Order::DropUnsent) => *is_withdrawn = true,
-            order => return order,
-        }
-    }
-}
-
 /// Waits until the client has disconnected; forever once the answer is complete.
 async fn caller_disconnected(output: &mut Output) {
     match output {
--- a/crates/snipespand/tests/gateway/memory.rs
+++ b/crates/snipespand/tests/gateway/memory.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::harness::API_KEY;
@@ -20,6 +21,7 @@
 use crate::harness::TestPlatform;
 use crate::harness::configuration;
 use crate::harness::wait_until;
+use crate::observing::metrics;
 use crate::scripted::Script;
 use crate::scripted::ScriptedServer;
 
@@ -276,6 +278,25 @@
     assert!(peak < MEMORY_KIB, "{peak} KiB");
 }
 
+/// Guards against memory that stays taken when a backend server does not read a long body: the
+/// request ends with its deadline, and the gauge shows that nothing is left.
+#[tokio::test]
+async fn unread_body_is_given_up_at_deadline() {
+    let (platform, gateway) = start(MEMORY_LIMIT).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let server = replace_servers(&platform, &gateway, PLAIN, String::new()).await;
+    let mut listing = server.listing(PLAIN);
+    // Connections to this address are accepted by the kernel, and never read.
+    listing["address"] = json!(listener.local_addr().expect("an address").to_string());
+    platform.store.put("servers", "scripted", &listing);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = upload(gateway.clients, "unread", Duration::from_millis(500)).await;
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let text = metrics(&gateway).await;
+    assert!(text.contains("snipespan_level{kind=\"memory_used_bytes\"} 0"), "{text}");
+}
+
 /// Sends a short stream and returns the time to its first event.
 async fn first_event(address: SocketAddr, id: &str) -> Duration {
     let began = Instant::now();
--- a/crates/snipespand/tests/gateway/observing.rs
+++ b/crates/snipespand/tests/gateway/observing.rs
@@ -13,7 +13,7 @@
 use crate::harness::TestPlatform;
 
 /// Returns the metrics of a gateway as text.
-async fn metrics(gateway: &Gateway) -> String {
+pub(crate) async fn metrics(gateway: &Gateway) -> String {
     let limit = Duration::from_secs(2);
     let mut connection = Connection::open(gateway.peers, limit).await.expect("it connects");
     let req =
