Tests of evacuations in the store and of the encoding without new fields

Guards the guarantees that evacuations share with other changes, and that configurations without evacuations and home regions are encoded as before.

--- a/crates/snipespan_platform/tests/configuration_store.rs
+++ b/crates/snipespan_platform/tests/configuration_store.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use snipespan_core::configuration::Change;
+use snipespan_core::configuration::Configuration;
 use snipespan_core::configuration::Revision;
+use snipespan_core::identity::DataCentre;
 use snipespan_core::identity::VmId;
 use snipespan_fakes::platform::FakePlatform;
 use snipespan_platform::client::PlatformClient;
@@ -91,3 +93,37 @@
         other => unreachable!("{other:?}"),
     }
 }
+
+/// Guards against an evacuation that lacks what other changes have: a retry with its id makes no
+/// second revision, an older base revision is refused, and a snapshot holds it.
+#[tokio::test]
+async fn apply_evacuate_and_restore() {
+    let (_platform, store) = start().await;
+    let name = DataCentre("graz-1".into());
+    let evacuate = ChangeRequest { change: Change::Evacuate(name.clone()), ..drain(1) };
+    for _ in 0..2 {
+        assert_eq!(store.apply(&evacuate).await.expect("it is accepted"), Revision(1));
+    }
+    let restore = Change::Restore(name.clone());
+    let late = ChangeRequest { base: Some(Revision(0)), change: restore.clone(), ..drain(2) };
+    let refused = store.apply(&late).await;
+    assert!(matches!(refused, Err(ChangeFailure::Conflict { .. })), "{refused:?}");
+    for id in 3..=SNAPSHOT_INTERVAL_REVISIONS + 1 {
+        store.apply(&drain(id)).await.expect("the change is accepted");
+    }
+    let evacuated = store.load().await.expect("it is read").configuration.evacuated;
+    assert_eq!(evacuated, [name].into());
+    store.apply(&ChangeRequest { base: None, ..late }).await.expect("it is accepted");
+    assert!(store.load().await.expect("it is read").configuration.evacuated.is_empty());
+    let again = store.apply(&ChangeRequest { change: restore, ..drain(0) }).await;
+    assert!(matches!(again, Err(ChangeFailure::Invalid(_))), "{again:?}");
+}
+
+/// Guards against a configuration whose encoding changes for deployments without evacuations and
+/// home regions, and against one of an older process that is no longer read.
+#[test]
+fn encode_without_new_fields() {
+    let older = r#"{"revision":2,"accounts":{"desk":{"credentials":[],"priority":1,"weight":1,"max_open":1,"disabled":false}},"models":{"drafts":{"max_prompt_tokens":1,"max_output_tokens":1,"time_limit_ms":1}},"services":{},"drained":[]}"#;
+    let decoded: Configuration = serde_json::from_str(older).expect("it is read");
+    assert_eq!(serde_json::to_string(&decoded).expect("it is encoded"), older);
+}
