--- a/crates/snipespand/tests/it/evacuation.rs
+++ b/crates/snipespand/tests/it/evacuation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use snipespan_admin::v1;
 use snipespan_admin::v1::change::Change;
 use snipespan_core::result_code::ResultCode;
@@ -168,3 +169,20 @@
     assert_served(&late, 10).await;
     assert_eq!(fleet.engines[0].log().started.len(), before);
 }
+
+/// An entry that is frozen while a data centre is evacuated must send no new work there from two
+/// seconds after it goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuate_entry_frozen() {
+    let fleet = start_two_data_centres().await;
+    fleet.entries[1].send_signal(Signal::SIGSTOP);
+    let mut operator = fleet.env.connect_operator(&fleet.entries[0]).await;
+    let change = Change::Evacuate("graz-1".to_owned());
+    operator.apply_change("evacuate", None, change).await.expect("the change is accepted");
+    tokio::time::sleep(EVACUATION_LIMIT).await;
+    fleet.entries[1].send_signal(Signal::SIGCONT);
+    tokio::time::sleep(EVACUATION_LIMIT).await;
+    let before = fleet.engines[0].log().started.len();
+    assert_served(&fleet.entries[1], 10).await;
+    assert_eq!(fleet.engines[0].log().started.len(), before);
+}
