Sending and holding of requests move out of placing.rs

Change: sending.rs sends chosen requests and starts their work, holding.rs holds or refuses what cannot be placed.

--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -12,7 +12,7 @@
 use crate::gateway::systems::availability;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::health;
-use crate::gateway::systems::placing;
+use crate::gateway::systems::holding;
 use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::retry_budgets::RetryUse;
@@ -265,7 +265,7 @@
     is_counted: bool,
     effects: &mut Vec<Effect>,
 ) {
-    if placing::refuse_if_unavailable(world, now, request, effects) {
+    if holding::refuse_if_unavailable(world, now, request, effects) {
         return;
     }
     let Err(obstacle) = claim_retry(world, now, request, is_counted) else {
--- a/crates/snipespan_core/src/gateway/systems/helpers.rs
+++ b/crates/snipespan_core/src/gateway/systems/helpers.rs
@@ -5,10 +5,10 @@
 //! nothing of the prompt, and no memory is reserved.
 
 use crate::gateway::effect::Helper;
-use crate::gateway::systems::placing::SendPlan;
 use crate::gateway::systems::prediction;
 use crate::gateway::systems::routing;
 use crate::gateway::systems::routing::Choice;
+use crate::gateway::systems::sending::SendPlan;
 use crate::gateway::systems::splitting;
 use crate::gateway::systems::splitting::KvPlacement;
 use crate::gateway::tables::requests::Request;
--- /dev/null
+++ b/crates/snipespan_core/src/gateway/systems/holding.rs
@@ -0,0 +1,155 @@
+//! Holds requests that cannot be placed for now, and refuses those that no backend server will take in
+//! time.
+
+use std::time::Duration;
+
+use crate::gateway::decision::Decision;
+use crate::gateway::effect::Effect;
+use crate::gateway::systems::availability;
+use crate::gateway::systems::availability::SendObstacle;
+use crate::gateway::systems::ending;
+use crate::gateway::tables::requests::Request;
+use crate::gateway::world::World;
+use crate::keys::RequestKey;
+use crate::result_code::ResultCode;
+use crate::time::Timestamp;
+
+/// Pause before a request without a backend server is placed again; half of an engine iteration.
+const PLACEMENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Maximum pause before a request that has only cold backend servers left is placed again; another
+/// one may take it before the share of the rate allows the next request.
+const COLD_RECHECK: Duration = Duration::from_millis(100);
+
+/// Share of a request's time limit for which it may wait for a backend server; a refused client
+/// needs the rest for its retry.
+const PLACEMENT_WAIT_SHARE: f64 = 0.25;
+
+/// Time after which a client should retry that no data centre may serve for now; nobody knows when
+/// the operator changes that.
+const NO_DATA_CENTRE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Returns when a request that has only cold backend servers left may be sent to one of them, if
+/// that is soon enough for it to wait.
+fn cold_wait(world: &World, now: Timestamp, row: &Request) -> Option<Timestamp> {
+    let until = availability::cold_until(world, now, row)?;
+    let time_limit = row.deadline.since(row.arrived);
+    (until <= row.arrived.after(time_limit.mul_f64(PLACEMENT_WAIT_SHARE))).then_some(until)
+}
+
+/// Logs that only cold backend servers are left for a request, when it begins to wait and when it
+/// is refused.
+fn log_cold_only(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    until: Timestamp,
+    is_refused: bool,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(row) = world.requests.get(key) else { return };
+    match is_refused {
+        true => world.counters.cold_refusals += 1,
+        false if !row.is_first_placement() => return,
+        false => world.counters.cold_waits += 1,
+    }
+    let (id, wait) = (row.id.clone(), until.since(now));
+    effects.push(Effect::LogDecision(Box::new(Decision::ColdOnly { id, wait, is_refused })));
+}
+
+/// Refuses a request at once if no backend server of its service takes it, until the first of them
+/// takes some again; returns whether it was refused. A stream that its client has seen a part of
+/// waits for that if its client does, and a request waits for a cold backend server for
+/// `PLACEMENT_WAIT_SHARE` of its time limit.
+pub fn refuse_if_unavailable(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    effects: &mut Vec<Effect>,
+) -> bool {
+    let Some(row) = world.requests.get(key) else { return false };
+    let Some(obstacle) = availability::common_obstacle(world, now, row) else { return false };
+    if cold_wait(world, now, row).is_some() {
+        return false;
+    }
+    let return_at = obstacle.until().unwrap_or(row.deadline);
+    let abandoned = row.last_event.after(row.abandon_timeout()).min(row.deadline);
+    if row.first_byte.is_some() && return_at < abandoned {
+        return false;
+    }
+    let code = match row.runs {
+        0 => refusal_code(obstacle),
+        _ => row.last_code.unwrap_or(ResultCode::BackendRefused),
+    };
+    effects.push(Effect::LogDecision(Box::new(Decision::Unservable {
+        id: row.id.clone(),
+        service: row.service.clone(),
+        obstacle,
+        counts: availability::count_obstacles(world, now, row),
+        change_in: obstacle.until().map(|until| until.since(now)),
+    })));
+    if let SendObstacle::Cold { until } = obstacle {
+        log_cold_only(world, now, key, until, true, effects);
+    }
+    match obstacle {
+        SendObstacle::Evacuated => world.counters.refused_evacuated += 1,
+        SendObstacle::OutsideHome => world.counters.refused_outside_home += 1,
+        SendObstacle::Leaving
+        | SendObstacle::Unwanted { .. }
+        | SendObstacle::Suspended { .. }
+        | SendObstacle::Cold { .. }
+        | SendObstacle::Bodies
+        | SendObstacle::Avoided => {
+            ending::end_until(world, now, key, code, return_at, effects);
+            return true;
+        }
+    }
+    ending::end_after(world, now, key, code, NO_DATA_CENTRE_RETRY_AFTER, effects);
+    true
+}
+
+const fn refusal_code(obstacle: SendObstacle) -> ResultCode {
+    match obstacle {
+        SendObstacle::Evacuated | SendObstacle::OutsideHome => ResultCode::NoBackendServer,
+        SendObstacle::Leaving
+        | SendObstacle::Unwanted { .. }
+        | SendObstacle::Suspended { .. }
+        | SendObstacle::Cold { .. }
+        | SendObstacle::Bodies
+        | SendObstacle::Avoided => ResultCode::BackendRefused,
+    }
+}
+
+/// Holds a request for which no backend server can be chosen, logged as `Held`, or refuses it after
+/// `PLACEMENT_WAIT_SHARE` of its time limit, or at once if no backend server wants requests.
+pub fn hold_request(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
+    if refuse_if_unavailable(world, now, key, effects) {
+        return;
+    }
+    let Some(row) = world.requests.get(key) else { return };
+    let cold_until = availability::cold_until(world, now, row);
+    if let Some(until) = cold_until {
+        log_cold_only(world, now, key, until, false, effects);
+        world.schedule_placement(key, until.min(now.after(COLD_RECHECK)));
+        return;
+    }
+    let Some(row) = world.requests.get_mut(key) else { return };
+    let code = row.last_code.unwrap_or(ResultCode::NoBackendServer);
+    let time_limit = row.deadline.since(row.arrived);
+    let is_overdue = now.since(row.arrived) >= time_limit.mul_f64(PLACEMENT_WAIT_SHARE);
+    if is_overdue && row.first_byte.is_none() {
+        ending::end_with_code(world, now, key, code, effects);
+        return;
+    }
+    // Backend servers that refused the request may have capacity by then.
+    row.avoided.clear();
+    if row.is_first_placement() {
+        let id = row.id.clone();
+        effects.push(Effect::LogDecision(Box::new(Decision::Held {
+            id,
+            code,
+            pause: PLACEMENT_PAUSE,
+        })));
+    }
+    world.schedule_placement(key, now.after(PLACEMENT_PAUSE));
+}
--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -19,11 +19,12 @@
 use crate::gateway::systems::availability;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::feeds;
-use crate::gateway::systems::placing;
-use crate::gateway::systems::placing::SendPlan;
+use crate::gateway::systems::holding;
 use crate::gateway::systems::prediction;
 use crate::gateway::systems::routing;
 use crate::gateway::systems::routing::Choice;
+use crate::gateway::systems::sending;
+use crate::gateway::systems::sending::SendPlan;
 use crate::gateway::systems::shared_rates;
 use crate::gateway::systems::splitting;
 use crate::gateway::systems::splitting::KvPlacement;
@@ -60,7 +61,7 @@
     let Some(engine) = routing::engine_of(world, row).copied() else { return };
     let split = splitting::best_split(world, now, row, &engine, KvPlacement::Partitioned, None);
     let Some(split) = split else {
-        placing::hold_request(world, now, key, effects);
+        holding::hold_request(world, now, key, effects);
         return;
     };
     let demand = WorkDemand {
@@ -72,7 +73,7 @@
     };
     // The peers are notified in the same tick, so that competing spans choose other engines.
     let start = |server: &BackendServerKey| {
-        placing::start_work(world, now, WorkOwner::Own(key), *server, demand, 0.0)
+        sending::start_work(world, now, WorkOwner::Own(key), *server, demand, 0.0)
     };
     let works = split.servers.iter().filter_map(start).collect();
     let tokens = split.part_tokens;
@@ -265,7 +266,7 @@
         is_counted: true,
     };
     world.counters.spans += 1;
-    placing::send_request(world, now, key, &plan, effects);
+    sending::send_request(world, now, key, &plan, effects);
 }
 
 /// Frees all memory that is reserved for a request. A reservation that an engine did not confirm
