--- a/crates/snipespand/tests/gateway/memory.rs
+++ b/crates/snipespand/tests/gateway/memory.rs
@@ -52,13 +52,37 @@
     )
 }
 
-/// Sends a body of [`GREATEST_BODY`] over `duration` and returns the answer as text, empty if the
-/// connection ended without one.
+/// Waits until a gateway uses this much memory for bodies and answers; fails after 2.5 s.
+async fn wait_for_memory_use(gateway: &Gateway, bytes: usize) {
+    for _ in 0..50 {
+        let text = metrics(gateway).await;
+        let mut levels = text.lines().filter(|line| line.contains("kind=\"memory_used_bytes\""));
+        let used = levels.next().and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        if used.is_some_and(|used| used >= bytes as f64) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the gateway did not use {bytes} bytes");
+}
+
+/// Sends a body of [`GREATEST_BODY`] over `duration` with a time limit of 8 s and returns the answer
+/// as text, empty if the connection ended without one.
 async fn upload(address: SocketAddr, id: &str, duration: Duration) -> String {
+    upload_within(address, id, duration, 8000).await
+}
+
+async fn upload_within(
+    address: SocketAddr,
+    id: &str,
+    duration: Duration,
+    time_limit_ms: u32,
+) -> String {
     let pause = duration / (GREATEST_BODY / PIECE) as u32;
     let Ok(stream) = TcpStream::connect(address).await else { return String::new() };
     let (mut reader, mut writer) = stream.into_split();
     let head = head("/order/upload", id, &format!("content-length: {GREATEST_BODY}"));
+    let head = head.replace("deadline-ms: 8000", &format!("deadline-ms: {time_limit_ms}"));
     let sending = tokio::spawn(async move {
         let mut sent = writer.write_all(head.as_bytes()).await;
         for _ in 0..GREATEST_BODY / PIECE {
@@ -151,8 +175,9 @@
         stream.write_all(text.trim_end().as_bytes()).await.expect("it is sent");
         stalled.push(stream);
     }
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let refused = upload(gateway.clients, "refused", Duration::from_millis(500)).await;
+    wait_for_memory_use(&gateway, stalled.len() * GREATEST_BODY).await;
+    // It waits for a quarter of its limit, which ends before the others give their memory back.
+    let refused = upload_within(gateway.clients, "refused", Duration::from_millis(500), 2000).await;
     assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
     let line = gateway.wait_for_log("rejected: no memory for the body", None).await;
     assert_eq!(line["request"], "refused");
