Settings: a field of a template that was not filled in counts as absent

Cause: the stand-ins of review/ know no sections, so that fields of the template that their deployment does not state stay in the settings: cold_excess and the section data_centres would have kept a gateway from starting. Only memory_limit took such a value as absent.

Change: the settings file as a whole does; the special case of memory_limit goes.

Result: a new test fails before and passes after; the tests of the settings and the adapter pass.

--- a/crates/snipespan_settings/src/gateway.rs
+++ b/crates/snipespan_settings/src/gateway.rs
@@ -18,9 +18,6 @@
     MiB, GiB (such as 260MB)";
 const NON_NEGATIVE_ALLOWED: &str = "a number of at least 0";
 
-/// Start of a field of the template that was not filled in.
-const UNFILLED_FIELD: &str = "{{";
-
 /// Settings of the gateway role.
 #[derive(Clone, Debug)]
 pub struct GatewayRole {
@@ -82,11 +79,7 @@
     regions.retain(|(_, region)| !region.is_empty());
     let remote_mb_cost =
         ini.optional(section, "remote_mb_cost", NON_NEGATIVE_ALLOWED, parse_non_negative);
-    // Renderers of the template that know no sections leave a field in place that the deployment
-    // does not state; a gateway that refused it could not start.
-    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, |text| {
-        if text.starts_with(UNFILLED_FIELD) { Some(None) } else { parse_memory(text).map(Some) }
-    });
+    let memory_limit = ini.optional(section, "memory_limit", MEMORY_ALLOWED, parse_memory);
     let decision_settings = GatewaySettings {
         node: vm?,
         data_centre: data_centre?,
@@ -99,7 +92,7 @@
         cold_slack,
         stop_limit,
         max_reservation_ttl,
-        memory_limit: memory_limit.flatten(),
+        memory_limit,
         remote_mb_cost,
         seed: 0,
     };
--- a/crates/snipespan_settings/src/ini_file.rs
+++ b/crates/snipespan_settings/src/ini_file.rs
@@ -16,6 +16,10 @@
 use crate::units::parse_duration;
 use crate::units::parse_size;
 
+/// Start of a field of a template that was not filled in. Renderers that know no sections leave the
+/// fields in place that a deployment does not state; a process that refused them could not start.
+const UNFILLED_FIELD: &str = "{{";
+
 /// A settings file that is being read, with the keys read and the errors found so far.
 #[derive(Debug)]
 pub struct IniFile {
@@ -52,6 +56,12 @@
         }
     }
 
+    /// Returns the value of a key; one that is an unfilled field of a template counts as absent.
+    fn value(&self, section: &str, key: &str) -> Option<&str> {
+        let value = self.ini.get_from(Some(section), key)?;
+        (!value.starts_with(UNFILLED_FIELD)).then_some(value)
+    }
+
     /// Reads an optional value; `allowed` describes what `parse` accepts. Returns `None` if the key
     /// is absent, or if the value is not allowed, which is recorded as an error.
     pub fn optional<T>(
@@ -62,7 +72,7 @@
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
         self.known_keys.push((section, key));
-        let value = self.ini.get_from(Some(section), key)?;
+        let value = self.value(section, key)?;
         let parsed = parse(value);
         if parsed.is_none() {
             let error = self.invalid_value(section, key, value, allowed);
@@ -79,7 +89,7 @@
         allowed: &str,
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        if self.ini.get_from(Some(section), key).is_none() {
+        if self.value(section, key).is_none() {
             self.known_keys.push((section, key));
             self.errors.push(SettingsError::MissingKey {
                 file: self.path.clone(),
@@ -149,7 +159,7 @@
     }
 
     /// Reads a section whose keys are free names, and returns the keys and values. A value that is
-    /// not allowed is skipped and recorded as an error.
+    /// not allowed is skipped and recorded as an error; an unfilled field of a template is skipped.
     pub fn named_values(
         &mut self,
         section: &'static str,
@@ -160,7 +170,10 @@
         let Some(properties) = self.ini.section(Some(section)) else { return Vec::new() };
         let mut values = Vec::new();
         let mut errors = Vec::new();
-        for (key, value) in properties.iter() {
+        let is_filled = |(key, value): &(&str, &str)| {
+            !key.starts_with(UNFILLED_FIELD) && !value.starts_with(UNFILLED_FIELD)
+        };
+        for (key, value) in properties.iter().filter(is_filled) {
             match is_allowed(value) {
                 true => values.push((key.into(), value.into())),
                 false => errors.push(self.invalid_value(section, key, value, allowed)),
--- a/crates/snipespan_settings/tests/daemon.rs
+++ b/crates/snipespan_settings/tests/daemon.rs
@@ -209,6 +209,20 @@
     assert!(errors.to_string().contains("graz-1"), "{errors}");
 }
 
+/// Guards against a gateway that cannot start as the deployment states no bound, and the renderer of
+/// the template leaves its fields in place.
+#[test]
+fn load_gateway_unfilled_fields() {
+    let text = format!(
+        "{GATEWAY}cold_excess = {{{{bounds.cold_excess}}}}\ncold_slack = {{{{bounds.cold_slack}}}}\n\
+         [data_centres]\n{{{{@}}}} = {{{{.}}}}\n"
+    );
+    let settings = load(&text).expect("no errors");
+    let RoleSettings::Gateway(gateway) = settings.role else { unreachable!("a gateway") };
+    assert_eq!(gateway.decision_settings.cold_excess, None);
+    assert!(gateway.decision_settings.regions.is_empty());
+}
+
 /// Guards against a gateway whose memory budget is that of another unit, and against one that cannot
 /// start as the deployment states no limit and the template's renderer left the field in place.
 #[rstest]
