Observability: length, duration and version of reads of the store and of peers

Each read of a table and each change, each fetch from a peer and each decoded configuration now has a line with bytes, took_ms and version; failed calls are counted, and the line of the first answer after an outage says how many there were. At most one line for each answer with rows, so the log stays bounded.

--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -278,11 +278,24 @@
     version: ServingVersion,
     cx: Arc<GatewayContext>,
 ) {
-    match request_serving(from).await {
-        Ok(bytes) => apply_serving(&bytes, false, &cx).await,
-        Err(e) => log::info!(
-            peer:% = from, configuration = version.0; "could not fetch a peer's configuration: {e}"
-        ),
+    let called = cx.clock.now();
+    let fetched = request_serving(from).await;
+    let took_ms = cx.clock.now().since(called).as_secs_f64() * 1e3;
+    match fetched {
+        Ok(bytes) => {
+            log::info!(
+                peer:% = from, configuration = version.0, bytes = bytes.len(), took_ms;
+                "configuration of a peer fetched"
+            );
+            apply_serving(&bytes, false, &cx).await;
+        }
+        Err(e) => {
+            cx.metrics.count("configuration_fetches_failed");
+            log::info!(
+                peer:% = from, configuration = version.0, took_ms;
+                "could not fetch a peer's configuration: {e}"
+            );
+        }
     }
 }
 
@@ -299,9 +312,14 @@
 /// Decodes a serving configuration, offers it to peers if it is the newest and sends it to the
 /// control thread.
 pub(super) async fn apply_serving(bytes: &Bytes, is_from_store: bool, cx: &GatewayContext) {
+    let began = cx.clock.now();
     match configuration::decode(bytes) {
         Ok(serving) => {
             let version = serving.version();
+            let took_ms = cx.clock.now().since(began).as_secs_f64() * 1e3;
+            log::info!(
+                configuration = version.0, bytes = bytes.len(), took_ms; "configuration decoded"
+            );
             cx.encoded_serving.send_if_modified(|newest| {
                 let is_newer = newest.bytes.is_empty() || newest.version < version;
                 if is_newer {
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -115,6 +115,10 @@
     is_reachable: Option<bool>,
     /// When the store last answered.
     answered: Timestamp,
+    /// When the last call was sent.
+    called: Timestamp,
+    /// Number of calls that failed since the last answer.
+    failures: u32,
 }
 
 /// Starts to follow the tables, and lists this gateway as `node` at `own_address` in the store.
@@ -140,6 +144,8 @@
             gateways: Vec::new(),
             is_reachable: None,
             answered: Timestamp::ZERO,
+            called: Timestamp::ZERO,
+            failures: 0,
         };
         tokio::spawn(watcher.run());
     }
@@ -158,6 +164,7 @@
     /// Reads the table, then applies its changes until the store no longer has the next ones.
     /// Retries failed calls for changes; only the read of the table returns an error.
     async fn follow_table(&mut self) -> Result<(), CallError> {
+        self.called = self.cx.clock.now();
         let mut snapshot = self.store.read_table(self.table.name()).await?;
         if self.table == Table::Gateways && !self.is_listed_in(&snapshot.rows) {
             // Of two gateways that start at the same time, the one that reads last finds the other.
@@ -166,11 +173,13 @@
             snapshot = self.store.read_table(self.table.name()).await?;
         }
         self.record_reachability(true, None).await;
+        self.log_read("table read", &snapshot);
         let mut version = snapshot.version;
         self.apply_snapshot(snapshot).await;
         loop {
             version = self.wait_until_followed(version).await;
-            let wait = self.current_wait(self.cx.clock.now());
+            self.called = self.cx.clock.now();
+            let wait = self.current_wait(self.called);
             let update = match self.store.poll_feed(self.table.name(), version, wait).await {
                 Ok(update) => update,
                 Err(e) => {
@@ -187,6 +196,9 @@
             match update {
                 FeedUpdate::Changes(changes) => {
                     let is_changed = !changes.rows.is_empty();
+                    if is_changed {
+                        self.log_read("changes read", &changes);
+                    }
                     let after = version;
                     version = changes.version.max(version);
                     self.apply_changes(after, version, changes.rows).await;
@@ -264,11 +276,23 @@
     async fn record_reachability(&mut self, is_reachable: bool, cause: Option<&CallError>) {
         let is_changed = self.is_reachable != Some(is_reachable);
         self.is_reachable = Some(is_reachable);
+        let now = self.cx.clock.now();
         if is_reachable {
-            self.answered = self.cx.clock.now();
+            self.answered = now;
+            let failures = std::mem::take(&mut self.failures);
+            if failures > 0 {
+                log::info!(table = self.table.name(), failures; "the store answers again");
+            }
         }
-        if let Some(cause) = cause.filter(|_| is_changed) {
-            log::info!(table = self.table.name(); "the store does not answer: {cause}");
+        if let Some(cause) = cause {
+            self.failures += 1;
+            self.cx.metrics.count("store_calls_failed");
+            if is_changed {
+                let took_ms = now.since(self.called).as_secs_f64() * 1e3;
+                log::info!(
+                    table = self.table.name(), took_ms; "the store does not answer: {cause}"
+                );
+            }
         }
         if self.table == Table::Listings && (is_changed || is_reachable) {
             let event = if is_reachable { Event::StoreAnswered } else { Event::StoreLost };
@@ -276,8 +300,17 @@
         }
     }
 
+    /// Logs what the last call returned. `took_ms` includes the wait for a change.
+    fn log_read(&self, message: &str, read: &VersionedRows) {
+        let took_ms = self.cx.clock.now().since(self.called).as_secs_f64() * 1e3;
+        log::info!(
+            table = self.table.name(), version = read.version.0, rows = read.rows.len(),
+            bytes = read.bytes, took_ms; "{message}"
+        );
+    }
+
     async fn apply_snapshot(&mut self, snapshot: VersionedRows) {
-        let VersionedRows { rows, version } = snapshot;
+        let VersionedRows { rows, version, .. } = snapshot;
         match self.table {
             Table::Operator => {
                 let read = evacuation::evacuated_data_centres(&rows);
