--- a/crates/snipespan_fakes/src/fault_proxy.rs
+++ b/crates/snipespan_fakes/src/fault_proxy.rs
@@ -32,6 +32,8 @@
     None,
     /// Waits this long before it forwards the bytes of each read.
     Delay(Duration),
+    /// Forwards at most this many bytes a second in each direction of a connection.
+    Narrow(u32),
     /// Holds all bytes back until the fault changes; connections stay open.
     Freeze,
     /// Resets all connections, and closes new ones as soon as they are accepted.
@@ -218,8 +220,13 @@
             std::future::pending::<()>().await;
         }
         let now = *faults.fault.borrow();
-        if let Fault::Delay(delay) = now {
-            tokio::time::sleep(delay).await;
+        match now {
+            Fault::Delay(delay) => tokio::time::sleep(delay).await,
+            Fault::Narrow(rate) => {
+                let seconds = read as f64 / f64::from(rate.max(1));
+                tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+            }
+            Fault::None | Fault::Freeze | Fault::Disconnect | Fault::Down => {}
         }
         if read == 0 || writer.write_all(&buf[..read]).await.is_err() {
             break;
--- a/crates/snipespand/tests/gateway/harness.rs
+++ b/crates/snipespand/tests/gateway/harness.rs
@@ -125,6 +125,20 @@
     })
 }
 
+/// Returns [`configuration`] with this number of further routes to the plain service.
+pub(crate) fn configuration_with_routes(version: u64, count: usize) -> Value {
+    let mut configuration = configuration(version);
+    let routes = configuration["routes"].as_array_mut().expect("routes");
+    let template = routes[1].clone();
+    for number in 0..count {
+        let mut route = template.clone();
+        route["name"] = json!(format!("r-more-{number}"));
+        route["prefix"] = json!(format!("/more/{number}/"));
+        routes.push(route);
+    }
+    configuration
+}
+
 impl TestPlatform {
     /// Starts the store with a configuration, and `count` replicas of each service; no gateway yet.
     pub(crate) async fn start(count: usize) -> Self {
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod harness;
 mod home_regions;
+mod large_configurations;
 mod memory;
 mod observing;
 mod odd_answers;
