Calls to the store and to peers are limited by silence, not by length

Callers were served by old configurations: each read of a large one was given up shortly before its end.

--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use snipespan_core::gateway::serving::ServingVersion;
 use snipespan_core::gateway::world::World;
 use snipespan_platform_adapter::configuration;
+use snipespan_platform_adapter::connection::AnswerLimits;
 use snipespan_platform_adapter::connection::Connection;
 use snipespan_settings::gateway::GatewayRole;
 use tokio::net::TcpListener;
@@ -41,7 +42,8 @@
 /// of gateways send; a few times the delay between data centres of a region.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(3);
 
-/// Maximum time to connect to a peer, and maximum time for its answer, which it has in memory.
+/// Maximum time to connect to a peer, and its maximum silence before and within an answer, which it
+/// has in memory.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Number of ports to try if the settings leave the choice to the system, which picks one that is
@@ -302,7 +304,8 @@
 async fn request_serving(from: SocketAddr) -> Result<Bytes> {
     let mut connection = Connection::open(from, PEER_CALL_TIMEOUT).await?;
     let req = Request::get(SERVING_PATH).header(header::HOST, from.to_string());
-    let answer = connection.call(req.body(Full::default())?, PEER_CALL_TIMEOUT).await?;
+    let answer =
+        connection.call(req.body(Full::default())?, AnswerLimits::new(PEER_CALL_TIMEOUT)).await?;
     match answer.status {
         200 => Ok(answer.body),
         status => Err(eyre!("the peer answered with status {status}, 200 is expected")),
--- a/crates/snipespand/tests/gateway/harness.rs
+++ b/crates/snipespand/tests/gateway/harness.rs
@@ -27,6 +27,7 @@
 use snipespan_fakes::users_platform::replica::FakeReplica;
 use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::store::FakeStore;
+use snipespan_platform_adapter::connection::AnswerLimits;
 use snipespan_platform_adapter::connection::Connection;
 use tempfile::TempDir;
 
@@ -262,7 +263,10 @@
         let Ok(mut connection) = Connection::open(self.ready, limit).await else { return false };
         let req = Request::get("/snipespan/readyz").header("host", "x");
         let req = req.body(Full::default()).expect("a request");
-        connection.call(req, limit).await.is_ok_and(|answer| answer.status == 200)
+        connection
+            .call(req, AnswerLimits::new(limit))
+            .await
+            .is_ok_and(|answer| answer.status == 200)
     }
 
     /// Returns the peak of the memory that the process has had resident, in KiB.
--- a/crates/snipespand/tests/gateway/observing.rs
+++ b/crates/snipespand/tests/gateway/observing.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use hyper::Request;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
+use snipespan_platform_adapter::connection::AnswerLimits;
 use snipespan_platform_adapter::connection::Connection;
 
 use crate::harness::Gateway;
@@ -18,7 +19,7 @@
     let mut connection = Connection::open(gateway.peers, limit).await.expect("it connects");
     let req =
         Request::get("/metrics").header("host", "x").body(Full::default()).expect("a request");
-    let answer = connection.call(req, limit).await.expect("metrics");
+    let answer = connection.call(req, AnswerLimits::new(limit)).await.expect("metrics");
     String::from_utf8(answer.body.to_vec()).expect("text")
 }
 
