A gateway that lags reads the newest configuration, not all versions since

Callers were served by old configurations while a large one changed in series. Cause: the feed returns each version of a changed row, so a gateway that is n versions behind reads n configurations, and lags more by the time it has them; from the limit of an answer on it never could. It then decoded each of them, 24 ms of a whole core a piece.

An answer of the feed is now read up to 512 KiB. What is longer is given up at its head, and the current rows are read instead, each once: the evacuations first, then the configuration, so that an evacuation does not wait behind it. Of several versions only the newest is decoded. Such a read is followed by a pause as long as it took, 0.25 to 0.6 s, so that configurations take half of a link at most. A configuration over 8 MiB is logged as an error, and the one in force stays. The same holds for the listings: changes longer than 512 KiB are replaced by a read of the table.

--- a/crates/snipespan_fakes/src/users_platform/store.rs
+++ b/crates/snipespan_fakes/src/users_platform/store.rs
@@ -75,12 +75,14 @@
     server: Server,
 }
 
-/// Query for the rows of a table whose key is at least `from`.
+/// Query for at most `limit` rows of a table whose key is at least `from` and less than `target`.
 #[derive(Deserialize)]
 struct GetQuery {
     table: String,
     #[serde(default)]
     from: String,
+    target: Option<String>,
+    limit: Option<usize>,
 }
 
 /// Query for the changes of a table after the version `after_rev`, with the maximum wait for one.
@@ -222,11 +224,15 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let rows = lock(&shared.rows);
+    let is_wanted = |key: &String| {
+        *key >= query.from && query.target.as_ref().is_none_or(|target| key < target)
+    };
     let found =
-        rows.rows.iter().filter(|((table, key), _)| *table == query.table && *key >= query.from);
+        rows.rows.iter().filter(|((table, key), _)| *table == query.table && is_wanted(key));
     let mut found: Vec<_> = found.map(|(_, row)| row.as_str()).collect();
-    let has_more = found.len() > MAX_ROWS_PER_PAGE;
-    found.truncate(MAX_ROWS_PER_PAGE);
+    let most = query.limit.map_or(MAX_ROWS_PER_PAGE, |limit| limit.min(MAX_ROWS_PER_PAGE));
+    let has_more = found.len() > most;
+    found.truncate(most);
     rows.respond(&found, &format!(",\"has_more\":{has_more}"))
 }
 
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -19,6 +19,7 @@
 use snipespan_platform_adapter::evacuation;
 use snipespan_platform_adapter::listing;
 use snipespan_platform_adapter::paths::CONFIGURATION_KEY;
+use snipespan_platform_adapter::paths::EVACUATION_PREFIX;
 use snipespan_platform_adapter::paths::GATEWAYS_TABLE;
 use snipespan_platform_adapter::paths::LISTINGS_TABLE;
 use snipespan_platform_adapter::paths::OPERATOR_TABLE;
@@ -52,6 +53,11 @@
 /// call returns several changes of a series; there is no time limit for them.
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(8);
 
+/// Maximum pause after a read of a whole table in place of its changes. Shorter reads are followed by
+/// as long a pause, so that they take half of a link at most; with the wait of a follower, its copy
+/// stays current.
+const MAX_READ_PAUSE: Duration = Duration::from_millis(600);
+
 /// Maximum pause after a failed call for the gateways' listings, for which there is no time limit;
 /// peers find each other by the seeds as well.
 const GATEWAYS_RETRY_PAUSE: Duration = Duration::from_secs(2);
@@ -162,20 +168,9 @@
     }
 
     /// Reads the table, then applies its changes until the store no longer has the next ones.
-    /// Retries failed calls for changes; only the read of the table returns an error.
+    /// Retries failed calls for changes; only a read of the table returns an error.
     async fn follow_table(&mut self) -> Result<(), CallError> {
-        self.called = self.cx.clock.now();
-        let mut snapshot = self.store.read_table(self.table.name()).await?;
-        if self.table == Table::Gateways && !self.is_listed_in(&snapshot.rows) {
-            // Of two gateways that start at the same time, the one that reads last finds the other.
-            let encoded = listing::encode_gateway_listing(self.own_address);
-            self.store.put_row(GATEWAYS_TABLE, &self.node, &encoded).await?;
-            snapshot = self.store.read_table(self.table.name()).await?;
-        }
-        self.record_reachability(true, None).await;
-        self.log_read("table read", &snapshot);
-        let mut version = snapshot.version;
-        self.apply_snapshot(snapshot).await;
+        let mut version = self.read_table().await?;
         loop {
             version = self.wait_until_followed(version).await;
             self.called = self.cx.clock.now();
@@ -206,6 +201,13 @@
                         tokio::time::sleep(self.table.pause()).await;
                     }
                 }
+                FeedUpdate::TooLong => {
+                    let began = self.called;
+                    version = self.read_table().await?;
+                    let took = self.cx.clock.now().since(began);
+                    let pause = took.min(MAX_READ_PAUSE).max(self.table.pause());
+                    tokio::time::sleep(pause).await;
+                }
                 FeedUpdate::HistoryGone => {
                     log::info!(
                         table = self.table.name(), version = version.0;
@@ -217,6 +219,62 @@
         }
     }
 
+    /// Reads and applies all rows; returns the version from which the feed continues.
+    async fn read_table(&mut self) -> Result<StoreVersion, CallError> {
+        self.called = self.cx.clock.now();
+        match self.table {
+            Table::Operator => self.read_operator_table().await,
+            Table::Listings => {
+                let read = self.store.read_table(LISTINGS_TABLE).await?;
+                self.record_reachability(true, None).await;
+                self.log_read("table read", &read);
+                let listings = read.rows.iter().filter_map(decode_listing).collect();
+                self.send(Event::ListingsRead { version: read.version, listings }).await;
+                Ok(read.version)
+            }
+            Table::Gateways => {
+                let mut read = self.store.read_table(GATEWAYS_TABLE).await?;
+                if !self.is_listed_in(&read.rows) {
+                    // Of two gateways that start at the same time, the one that reads last finds the
+                    // other.
+                    let encoded = listing::encode_gateway_listing(self.own_address);
+                    self.store.put_row(GATEWAYS_TABLE, &self.node, &encoded).await?;
+                    read = self.store.read_table(GATEWAYS_TABLE).await?;
+                }
+                self.record_reachability(true, None).await;
+                self.log_read("table read", &read);
+                self.gateways.clear();
+                self.update_gateways(&read.rows).await;
+                Ok(read.version)
+            }
+        }
+    }
+
+    /// Reads the evacuations, and then the configuration, which may take seconds. No request is sent
+    /// without a configuration, and so none before the evacuations are known.
+    async fn read_operator_table(&mut self) -> Result<StoreVersion, CallError> {
+        let read = self.store.read_prefix(OPERATOR_TABLE, EVACUATION_PREFIX).await?;
+        self.record_reachability(true, None).await;
+        let version = read.version;
+        let data_centres = evacuation::evacuated_data_centres(&read.rows);
+        self.send(Event::EvacuationsRead(EvacuationSet { version, data_centres })).await;
+        self.called = self.cx.clock.now();
+        match self.store.read_row(OPERATOR_TABLE, CONFIGURATION_KEY).await {
+            Ok(read) => {
+                self.record_reachability(true, None).await;
+                self.log_read("table read", &read);
+                self.apply_configuration(&read.rows).await;
+            }
+            Err(e @ CallError::TooLong { .. }) => {
+                log::error!(
+                    "the configuration in the store cannot be read, no other is in force: {e}"
+                );
+            }
+            Err(e) => return Err(e),
+        }
+        Ok(version)
+    }
+
     fn is_listed_in(&self, rows: &[Row]) -> bool {
         let mut own = rows.iter().filter(|row| row.key == self.node);
         own.any(|row| {
@@ -309,27 +367,6 @@
         );
     }
 
-    async fn apply_snapshot(&mut self, snapshot: VersionedRows) {
-        let VersionedRows { rows, version, .. } = snapshot;
-        match self.table {
-            Table::Operator => {
-                let read = evacuation::evacuated_data_centres(&rows);
-                let set = EvacuationSet { version, data_centres: read };
-                // Before the configuration, without which no request is sent.
-                self.send(Event::EvacuationsRead(set)).await;
-                self.apply_configuration(&rows).await;
-            }
-            Table::Listings => {
-                let listings = rows.iter().filter_map(decode_listing).collect();
-                self.send(Event::ListingsRead { version, listings }).await;
-            }
-            Table::Gateways => {
-                self.gateways.clear();
-                self.update_gateways(&rows).await;
-            }
-        }
-    }
-
     async fn apply_changes(&mut self, after: StoreVersion, version: StoreVersion, rows: Vec<Row>) {
         match self.table {
             Table::Operator => {
@@ -349,11 +386,13 @@
         }
     }
 
+    /// Applies the newest configuration in rows that are in the order of their changes.
     async fn apply_configuration(&self, rows: &[Row]) {
-        for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
-            if let Some(bytes) = &row.value {
-                peers::apply_serving(bytes, true, &self.cx).await;
-            }
+        let mut values = rows.iter().filter(|row| row.key == CONFIGURATION_KEY);
+        if let Some(bytes) =
+            values.rfind(|row| row.value.is_some()).and_then(|row| row.value.as_ref())
+        {
+            peers::apply_serving(bytes, true, &self.cx).await;
         }
     }
 
--- a/crates/snipespand/tests/gateway/large_configurations.rs
+++ b/crates/snipespand/tests/gateway/large_configurations.rs
@@ -41,3 +41,19 @@
     let took = written.elapsed();
     assert!(took < CHANGE_LIMIT, "in force after {took:?}");
 }
+
+/// Guards against an evacuation that waits behind a long configuration in the same table.
+#[tokio::test]
+async fn large_configuration_does_not_hold_up_an_evacuation() {
+    let platform = TestPlatform::start(1).await;
+    let proxy = FaultProxy::start(platform.store.address()).await.expect("a proxy");
+    let gateway = platform.gateway_at("gateway-1", proxy.address(), "").await;
+    // Over this link the configuration takes 4 s.
+    proxy.set_fault(Fault::Narrow(NARROW / 12));
+    platform.store.put("op", "config", &configuration_with_routes(2, ROUTES));
+    platform.store.put("op", "evacuate/graz-b", &json!({}));
+    let written = Instant::now();
+    gateway.wait_for_log("evacuation of a data centre", None).await;
+    let took = written.elapsed();
+    assert!(took < CHANGE_LIMIT, "known after {took:?}");
+}
