Fetches of a configuration: one at a time, spread over the peers, compressed

Callers were served by old configurations while many gateways needed a large one. Cause: all gateways fetched from the same peer, the last in the table of those with the newest version, again each 300 ms, and read the store at the same time: 27 times 1 MB over a link of 20 Mbit/s.

A gateway now has one fetch in progress, from a peer drawn at random among those that have the newest version, its own data centre first. Pauses after failures double, and a fetch is followed by a pause as long as it took, so that configurations take half of a link at most. A peer gives its configuration to 8 others at a time and refuses more. It is compressed with zlib (1 MB becomes less than 0.1 MB) unless the caller is an older gateway. A gateway that relies on followers reads the store itself only if no peer delivers within 0.7 s; before, each new version made all of them read it.

Such gateways are asserted by a new test in place of newer_configuration_of_a_peer_makes_the_gateway_call_the_feed, which asked for the read at once. New tests: one fetch at a time, growing pauses, half of the time at most, spread over holders, compressed. They use the new event and were not run on the code before.

--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -95,6 +95,11 @@
         /// Whether it was read from the store rather than from a peer.
         is_from_store: bool,
     },
+    /// A peer did not deliver its configuration.
+    ServingFetchFailed {
+        /// The peer.
+        from: SocketAddr,
+    },
     /// The complete list of backend servers was read from the store.
     ListingsRead {
         /// Version of the store at which it was read.
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -26,6 +26,7 @@
 pub mod routing;
 pub mod sending;
 pub mod serving;
+pub mod serving_fetches;
 pub mod shared_rates;
 pub mod spans;
 pub mod splitting;
--- a/crates/snipespan_core/src/gateway/systems/feeds.rs
+++ b/crates/snipespan_core/src/gateway/systems/feeds.rs
@@ -3,8 +3,8 @@
 //! Load pattern: hundreds of gateways that each ask the store for the same changes. A few of them,
 //! drawn by rendezvous hashing from the gateways heard lately, follow the feeds for all: they relay
 //! changes of the listings, and report up to which version their copy is complete. A gateway calls
-//! a feed itself as soon as no follower is current, or when a report shows that it has missed a
-//! change. Versions of the store order everything, so a late or repeated relay changes nothing.
+//! a feed itself as soon as no follower is current, when a report shows that it has missed a change of
+//! the listings, or when its peers do not deliver a newer configuration in time. Versions of the store order everything, so a late or repeated relay changes nothing.
 
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::gateway::event::StoreVersion;
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::systems::evacuations;
+use crate::gateway::systems::serving_fetches;
 use crate::gateway::tables::peers::Peer;
 use crate::gateway::world::AnsweredSpan;
 use crate::gateway::world::World;
@@ -102,7 +103,9 @@
     match world.listings.plan.listings {
         FeedMode::Relayed => {
             let relayed_until = evacuations::relayed_until(world).filter(|until| now < *until);
-            current_until(world, now).into_iter().chain(relayed_until).min()
+            let serving_until = serving_fetches::relayed_until(world).filter(|until| now < *until);
+            let current_until = current_until(world, now);
+            [current_until, relayed_until, serving_until].into_iter().flatten().min()
         }
         FeedMode::Alone | FeedMode::ForPeers => None,
     }
@@ -151,15 +154,12 @@
 
 fn plan_feeds(world: &World, now: Timestamp) -> FeedPlan {
     let listings_version = world.listings.version;
-    let serving = world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default();
     let own_rank = rank_of(&world.settings.node);
     let mut before = 0;
     let mut is_relayed = false;
     let mut has_all_changes = true;
-    let mut has_newest_serving = true;
     for (_, peer) in world.peers.iter().filter(|(_, peer)| peer.is_alive(now)) {
         before += usize::from(peer.rank < own_rank);
-        has_newest_serving &= peer.version <= serving;
         if let Some((report, _)) = current_report(peer, now) {
             is_relayed = true;
             has_all_changes &= report.last_change <= listings_version;
@@ -172,13 +172,14 @@
         let (operator, listings) = (FeedMode::ForPeers, FeedMode::ForPeers);
         return FeedPlan { operator, listings, listings_version };
     }
+    let is_serving_relayed = serving_fetches::relayed_until(world).is_none_or(|until| now < until);
     let has_current_evacuations = evacuations::relayed_until(world).is_none_or(|until| now < until);
     let mode = |is_current: bool| match is_relayed && is_current && world.store.is_reachable {
         true => FeedMode::Relayed,
         false => FeedMode::Alone,
     };
     FeedPlan {
-        operator: mode(has_newest_serving && has_current_evacuations),
+        operator: mode(is_serving_relayed && has_current_evacuations),
         listings: mode(has_all_changes),
         listings_version,
     }
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -16,7 +16,6 @@
 use crate::gateway::event::PeerUpdate;
 use crate::gateway::event::WorkChange;
 use crate::gateway::event::WorkReport;
-use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::serving::ServingVersion;
 use crate::gateway::systems::feeds;
 use crate::gateway::tables::peers::Peer;
@@ -37,10 +36,6 @@
 /// snapshots would have been lost.
 const WORK_CONFIRM_TIMEOUT: Duration = Duration::from_millis(2200);
 
-/// Time that the store's own feed has to deliver a newer configuration before a peer is asked for
-/// it, and the interval between such requests.
-const SERVING_FETCH_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Applies messages of peers, and expires peers and work that are no longer reported.
 pub fn run(world: &mut World, now: Timestamp, events: &[Event], effects: &mut Vec<Effect>) {
     for event in events {
@@ -61,7 +56,6 @@
         expire_peers(world, now, effects);
         expire_unconfirmed_work(world, now);
     }
-    fetch_newer_serving(world, now, effects);
 }
 
 fn apply_peer_list(world: &mut World, addresses: &[SocketAddr]) {
@@ -278,23 +272,3 @@
         }
     }
 }
-
-/// Fetches the serving configuration from a peer that has a newer one than the store has delivered.
-fn fetch_newer_serving(world: &mut World, now: Timestamp, effects: &mut Vec<Effect>) {
-    let current = world.serving.as_ref().map(ServingConfiguration::version).unwrap_or_default();
-    let alive = world.peers.iter().filter(|(_, peer)| peer.is_alive(now));
-    let newest = alive.map(|(_, peer)| (peer.version, peer.address)).max_by_key(|peer| peer.0);
-    let Some((version, from)) = newest.filter(|(version, _)| *version > current) else { return };
-    match world.last_serving_fetch {
-        Some(last_fetch) if now.since(last_fetch) < SERVING_FETCH_INTERVAL => return,
-        // While the store answers, the first sight of a newer version only starts the wait for the
-        // feed.
-        None if world.store.is_reachable => {
-            world.last_serving_fetch = Some(now);
-            return;
-        }
-        _ => {}
-    }
-    world.last_serving_fetch = Some(now);
-    effects.push(Effect::FetchServing { from, version });
-}
--- a/crates/snipespan_core/src/gateway/systems/serving.rs
+++ b/crates/snipespan_core/src/gateway/systems/serving.rs
@@ -5,6 +5,7 @@
 use crate::gateway::effect::Effect;
 use crate::gateway::event::Event;
 use crate::gateway::serving::ServingConfiguration;
+use crate::gateway::systems::serving_fetches;
 use crate::gateway::world::World;
 use crate::time::Timestamp;
 
@@ -48,7 +49,7 @@
     effects.push(Effect::LogDecision(Box::new(decision)));
     effects.push(Effect::SetLimits(received.limits()));
     world.serving = Some(received.clone());
-    world.last_serving_fetch = None;
+    serving_fetches::record_change(world);
 }
 
 fn set_store_reachable(
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -19,6 +19,7 @@
 use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::relays;
 use crate::gateway::systems::serving;
+use crate::gateway::systems::serving_fetches;
 use crate::gateway::systems::shared_rates;
 use crate::gateway::systems::spans;
 use crate::gateway::systems::stalls;
@@ -45,6 +46,7 @@
     home_regions::run(world, events, &mut effects);
     peers::run(world, now, events, &mut effects);
     relays::run(world, now, events, &mut effects);
+    let fetch_at = serving_fetches::run(world, now, events, &mut effects);
     prompt_parts::run(world, now, events, &mut effects);
     let follow_at = feeds::run(world, now, &mut effects);
     let cold_at = shared_rates::run(world, now, &mut effects);
@@ -60,6 +62,7 @@
     let due = [
         list_at,
         return_at,
+        fetch_at,
         follow_at,
         cold_at,
         refuse_at,
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -19,6 +19,7 @@
 use crate::gateway::serving::ServingVersion;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::systems::pauses::CATCH_UP_TIME;
+use crate::gateway::systems::serving_fetches::ServingFetch;
 use crate::gateway::tables::backend_servers::BackendServers;
 use crate::gateway::tables::data_centres::DataCentres;
 use crate::gateway::tables::evacuations::Evacuations;
@@ -210,10 +211,8 @@
     pub snapshot_due: Timestamp,
     /// When silent peers and unconfirmed work are removed next.
     pub peers_sweep_due: Timestamp,
-    /// When a peer was last asked for its newer configuration, or, while the store is reachable,
-    /// when the wait for the store's feed to deliver that configuration began; `None` once a newer
-    /// one is in force.
-    pub last_serving_fetch: Option<Timestamp>,
+    /// Progress of fetching a newer configuration from a peer.
+    pub serving_fetch: ServingFetch,
     /// The gateways that this one knows and hears.
     pub gateway_view: GatewayView,
     /// Rates that all gateways share: retries to each service, requests to cold backend servers.
@@ -261,7 +260,7 @@
             sequence: 0,
             snapshot_due: Timestamp::ZERO,
             peers_sweep_due: Timestamp::ZERO,
-            last_serving_fetch: None,
+            serving_fetch: ServingFetch::default(),
             gateway_view: GatewayView::default(),
             shared_rates: SharedRates::default(),
             relays: RelayChoices::default(),
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod relays;
 mod retry_budgets;
 mod serving;
+mod serving_fetches;
 mod shared_rates;
 mod spans;
 mod stalls;
--- a/crates/snipespand/src/gateway.rs
+++ b/crates/snipespand/src/gateway.rs
@@ -5,6 +5,7 @@
 mod byte_meters;
 mod client_stream;
 mod clients;
+mod configurations;
 mod decisions;
 pub mod events;
 mod exchange;
@@ -38,9 +39,9 @@
 
 use crate::clock::Clock;
 use crate::control;
+use crate::gateway::configurations::ServingOffer;
 use crate::gateway::memory::Memory;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::peers::EncodedServing;
 use crate::gateway::peers::PeerLink;
 use crate::gateway::shell::Input;
 use crate::gateway::shell::Shell;
@@ -82,7 +83,7 @@
     connection_policy: watch::Receiver<ConnectionPolicy>,
     readiness: watch::Receiver<bool>,
     /// The newest serving configuration, which peers can fetch.
-    encoded_serving: watch::Sender<EncodedServing>,
+    serving_offer: ServingOffer,
     /// Memory for bodies and answers.
     memory: Memory,
     /// Tasks of clients' connections and requests, which a planned stop waits for.
@@ -115,7 +116,6 @@
     let (limits_tx, limits_rx) = watch::channel(INITIAL_LIMITS);
     let (connection_policy_tx, connection_policy_rx) = watch::channel(ConnectionPolicy::KeepAlive);
     let (feeds_tx, feeds_rx) = watch::channel(FeedPlan::default());
-    let (encoded_serving, _) = watch::channel(EncodedServing::default());
     let (stopped_tx, stopped_rx) = oneshot::channel();
     let metrics = Arc::new(GatewayMetrics::new()?);
     let cx = Arc::new(GatewayContext {
@@ -125,7 +125,7 @@
         limits: limits_rx,
         connection_policy: connection_policy_rx,
         readiness,
-        encoded_serving,
+        serving_offer: ServingOffer::new(),
         memory: Memory::new(role.decision_settings.memory_limit),
         tasks: TaskTracker::new(),
     });
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -10,21 +10,13 @@
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
-use bytes::Bytes;
 use eyre::Result;
 use eyre::eyre;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header;
 use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::PeerMessage;
-use snipespan_core::gateway::serving::ServingVersion;
 use snipespan_core::gateway::world::World;
-use snipespan_platform_adapter::configuration;
-use snipespan_platform_adapter::connection::AnswerLimits;
-use snipespan_platform_adapter::connection::Connection;
 use snipespan_settings::gateway::GatewayRole;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -32,6 +24,7 @@
 use crate::gateway::GatewayContext;
 use crate::gateway::byte_meters;
 use crate::gateway::byte_meters::Place;
+use crate::gateway::configurations;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::shell::Input;
 
@@ -42,10 +35,6 @@
 /// of gateways send; a few times the delay between data centres of a region.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(3);
 
-/// Maximum time to connect to a peer, and its maximum silence before and within an answer, which it
-/// has in memory.
-const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Number of ports to try if the settings leave the choice to the system, which picks one that is
 /// free for TCP; another process may hold its number for UDP.
 const MAX_PORT_CHOICES: usize = 16;
@@ -53,16 +42,8 @@
 /// Maximum length of the name of a data centre in bytes.
 const MAX_NAME_BYTES: usize = 200;
 
-const SERVING_PATH: &str = "/serving";
 const METRICS_PATH: &str = "/metrics";
 
-/// The newest serving configuration as its writer encoded it; empty until one is received.
-#[derive(Clone, Debug, Default)]
-pub(super) struct EncodedServing {
-    pub(super) version: ServingVersion,
-    pub(super) bytes: Bytes,
-}
-
 /// The sockets for peers.
 pub(super) struct PeerLink {
     cx: Arc<GatewayContext>,
@@ -112,7 +93,7 @@
             receive_datagrams(self.datagrams, cx).await;
         });
         let router = Router::new()
-            .route(SERVING_PATH, get(get_serving))
+            .route(configurations::SERVING_PATH, get(configurations::get_serving))
             .route(METRICS_PATH, get(get_metrics))
             // Nothing else is run here, also if a listing of a backend server has this address.
             .fallback(async || StatusCode::MISDIRECTED_REQUEST)
@@ -255,85 +236,9 @@
     }
 }
 
-async fn get_serving(State(cx): State<Arc<GatewayContext>>) -> Result<Bytes, StatusCode> {
-    let serving = cx.encoded_serving.borrow().clone();
-    match serving.bytes.is_empty() {
-        true => Err(StatusCode::NOT_FOUND),
-        false => {
-            let bytes = serving.bytes.len() as u64;
-            cx.metrics.add_bytes("configurations", Place::Unknown, bytes);
-            Ok(serving.bytes)
-        }
-    }
-}
-
 async fn get_metrics(State(cx): State<Arc<GatewayContext>>) -> Result<Vec<u8>, StatusCode> {
     cx.metrics.render().map_err(|e| {
         log::error!("could not encode the metrics: {e}");
         StatusCode::INTERNAL_SERVER_ERROR
     })
 }
-
-/// Fetches and applies the serving configuration of a peer that has a newer one.
-pub(super) async fn fetch_serving(
-    from: SocketAddr,
-    version: ServingVersion,
-    cx: Arc<GatewayContext>,
-) {
-    let called = cx.clock.now();
-    let fetched = request_serving(from).await;
-    let took_ms = cx.clock.now().since(called).as_secs_f64() * 1e3;
-    match fetched {
-        Ok(bytes) => {
-            log::info!(
-                peer:% = from, configuration = version.0, bytes = bytes.len(), took_ms;
-                "configuration of a peer fetched"
-            );
-            apply_serving(&bytes, false, &cx).await;
-        }
-        Err(e) => {
-            cx.metrics.count("configuration_fetches_failed");
-            log::info!(
-                peer:% = from, configuration = version.0, took_ms;
-                "could not fetch a peer's configuration: {e}"
-            );
-        }
-    }
-}
-
-async fn request_serving(from: SocketAddr) -> Result<Bytes> {
-    let mut connection = Connection::open(from, PEER_CALL_TIMEOUT).await?;
-    let req = Request::get(SERVING_PATH).header(header::HOST, from.to_string());
-    let answer =
-        connection.call(req.body(Full::default())?, AnswerLimits::new(PEER_CALL_TIMEOUT)).await?;
-    match answer.status {
-        200 => Ok(answer.body),
-        status => Err(eyre!("the peer answered with status {status}, 200 is expected")),
-    }
-}
-
-/// Decodes a serving configuration, offers it to peers if it is the newest and sends it to the
-/// control thread.
-pub(super) async fn apply_serving(bytes: &Bytes, is_from_store: bool, cx: &GatewayContext) {
-    let began = cx.clock.now();
-    match configuration::decode(bytes) {
-        Ok(serving) => {
-            let version = serving.version();
-            let took_ms = cx.clock.now().since(began).as_secs_f64() * 1e3;
-            log::info!(
-                configuration = version.0, bytes = bytes.len(), took_ms; "configuration decoded"
-            );
-            cx.encoded_serving.send_if_modified(|newest| {
-                let is_newer = newest.bytes.is_empty() || newest.version < version;
-                if is_newer {
-                    *newest = EncodedServing { version, bytes: bytes.clone() };
-                }
-                is_newer
-            });
-            let event = Event::ServingReceived { serving: Box::new(serving), is_from_store };
-            // Sending fails only after the control thread has ended, when nothing needs the event.
-            let _ = cx.control.send(Input::Event(event)).await;
-        }
-        Err(e) => log::error!(is_from_store; "could not decode a serving configuration: {e}"),
-    }
-}
--- a/crates/snipespand/src/gateway/shell.rs
+++ b/crates/snipespand/src/gateway/shell.rs
@@ -30,8 +30,8 @@
 use crate::gateway::ConnectionPolicy;
 use crate::gateway::GatewayContext;
 use crate::gateway::byte_meters::Place;
+use crate::gateway::configurations;
 use crate::gateway::decisions;
-use crate::gateway::peers;
 use crate::gateway::peers::PeerSender;
 
 /// Maximum number of orders queued for the task of one request; a request whose queue is full is
@@ -149,7 +149,11 @@
                 self.link.notify(&to, &message, route.as_ref());
             }
             Effect::FetchServing { from, version } => {
-                self.runtime.spawn(peers::fetch_serving(from, version, Arc::clone(&self.cx)));
+                self.runtime.spawn(configurations::fetch_serving(
+                    from,
+                    version,
+                    Arc::clone(&self.cx),
+                ));
             }
             Effect::FollowFeeds(plan) => {
                 log::info!(
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -31,7 +31,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::GatewayContext;
-use crate::gateway::peers;
+use crate::gateway::configurations;
 use crate::gateway::shell::Input;
 
 /// Maximum pause after a failed call to the store; each pause is random between half of it and all
@@ -392,7 +392,7 @@
         if let Some(bytes) =
             values.rfind(|row| row.value.is_some()).and_then(|row| row.value.as_ref())
         {
-            peers::apply_serving(bytes, true, &self.cx).await;
+            configurations::apply_from_store(bytes, &self.cx).await;
         }
     }
 
--- a/crates/snipespand/tests/gateway/large_configurations.rs
+++ b/crates/snipespand/tests/gateway/large_configurations.rs
@@ -57,3 +57,21 @@
     let took = written.elapsed();
     assert!(took < CHANGE_LIMIT, "known after {took:?}");
 }
+
+/// Guards against configurations that fill the links between gateways: 0.6 MB of JSON.
+#[tokio::test]
+async fn large_configuration_is_fetched_compressed() {
+    let platform = TestPlatform::start(1).await;
+    let proxy = FaultProxy::start(platform.store.address()).await.expect("a proxy");
+    let first = platform.gateway("gateway-1").await;
+    let second = platform.gateway_at("gateway-2", proxy.address(), "").await;
+    second.wait_for_log("peer regained", Some(("peer", "gateway-1"))).await;
+    proxy.set_fault(Fault::Freeze);
+    let mut changed = configuration_with_routes(7, ROUTES);
+    changed["tenants"][0]["api_keys"] = json!(["key-2"]);
+    platform.store.put("op", "config", &changed);
+    wait_until_denied(&first).await;
+    wait_until_denied(&second).await;
+    let line = second.wait_for_log("configuration of a peer fetched", None).await;
+    assert!(line["bytes"].as_u64().is_some_and(|bytes| bytes < 100_000), "{line}");
+}
