A follower's report covers the operator's table as well as the listings

Callers were served by old configurations, and could have been by gateways that miss an evacuation: most gateways rely on followers for both tables, but a follower reported only how old its copy of the listings was. If its calls for the operator's table failed, as with answers longer than their time limit, nothing told the others.

The age in a report is now that of the older of the two last answers. The encoding is the same, so older gateways understand it.

--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -95,6 +95,8 @@
         /// Whether it was read from the store rather than from a peer.
         is_from_store: bool,
     },
+    /// The store answered a call for the operator's table; sent for each answer.
+    OperatorTableAnswered,
     /// A peer did not deliver its configuration.
     ServingFetchFailed {
         /// The peer.
@@ -340,14 +342,15 @@
     pub data_centres: Vec<CompactString>,
 }
 
-/// How current a gateway's copy of the listings is, as it reports to its peers.
+/// How current a gateway's copy of the store's tables is, as it reports to its peers. Versions are
+/// those of the listings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedReport {
     /// Version of the store up to which its copy is complete.
     pub version: StoreVersion,
     /// Version of the newest change in its copy.
     pub last_change: StoreVersion,
-    /// Time since the store's feed last answered it, in ms.
+    /// Time since the store last answered it on both the listings and the operator's table, in ms.
     pub age_ms: u32,
 }
 
--- a/crates/snipespan_core/src/gateway/systems/feeds.rs
+++ b/crates/snipespan_core/src/gateway/systems/feeds.rs
@@ -219,7 +219,7 @@
     reports.map(|(_, answered)| answered.after(MAX_FEED_AGE)).max()
 }
 
-/// Returns this gateway's report on its copy, if it follows for its peers, or if there are too few
+/// Returns this gateway's report on its copy of both tables, if it follows for its peers, or if there are too few
 /// gateways for relaying, so that each follows the feed, and the store has answered.
 pub fn own_report(world: &World, now: Timestamp) -> Option<FeedReport> {
     let copy = &world.listings;
@@ -227,7 +227,9 @@
     if !is_follower && count_gateways(world, now) >= MIN_GATEWAYS {
         return None;
     }
-    let age_ms = now.since(copy.answered?).as_millis().min(u128::from(u32::MAX)) as u32;
+    // The others rely on it for both tables, so the older answer counts.
+    let answered = copy.answered?.min(copy.operator_answered?);
+    let age_ms = now.since(answered).as_millis().min(u128::from(u32::MAX)) as u32;
     Some(FeedReport { version: copy.version, last_change: copy.last_change, age_ms })
 }
 
--- a/crates/snipespan_core/src/gateway/systems/serving.rs
+++ b/crates/snipespan_core/src/gateway/systems/serving.rs
@@ -16,6 +16,7 @@
             Event::ServingReceived { serving, is_from_store } => {
                 apply_configuration(world, serving, *is_from_store, effects);
             }
+            Event::OperatorTableAnswered => world.listings.operator_answered = Some(now),
             Event::StoreLost => set_store_reachable(world, now, false, effects),
             Event::StoreAnswered => set_store_reachable(world, now, true, effects),
             Event::SettingsChanged(settings) => {
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -82,6 +82,8 @@
     pub last_change: StoreVersion,
     /// When the store's feed last answered this gateway itself.
     pub answered: Option<Timestamp>,
+    /// When the store last answered this gateway itself on the operator's table.
+    pub operator_answered: Option<Timestamp>,
     /// Changes from the feed that the peers have not been notified of.
     pub unrelayed: Vec<ListingsUpdate>,
     /// Version of the serving configuration that the peers were last notified of.
--- a/crates/snipespan_core/tests/gateway/feeds.rs
+++ b/crates/snipespan_core/tests/gateway/feeds.rs
@@ -262,6 +262,23 @@
     assert_eq!(group.plan.listings, FeedMode::Relayed);
 }
 
+/// Guards against gateways that rely on a follower whose calls for the operator's table fail, while
+/// those for the listings are answered.
+#[test]
+fn follower_without_the_operators_table_reports_an_old_copy() {
+    let mut group = Group::new(0, GATEWAYS);
+    for version in 2..12 {
+        group.run_for(Duration::from_millis(200));
+        let (after, version) = (StoreVersion(version - 1), StoreVersion(version));
+        let update = ListingsUpdate { after, version, changes: Vec::new() };
+        group.step(vec![Event::StoreAnswered, Event::ListingsChanged(update)]);
+    }
+    group.run_for(Duration::from_millis(400));
+    let reports: Vec<_> = group.kit.notifications().iter().filter_map(|m| m.feed).collect();
+    assert!(!reports.is_empty());
+    assert!(reports.iter().all(|report| report.age_ms >= 2000), "{reports:?}");
+}
+
 #[test]
 fn follower_relays_its_changes_and_reports_at_intervals() {
     let mut group = Group::new(0, GATEWAYS);
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -212,6 +212,7 @@
         let serving = Box::new(serving(1));
         kit.step(vec![
             Event::StoreAnswered,
+            Event::OperatorTableAnswered,
             Event::ServingReceived { serving, is_from_store: true },
             Event::ListingsRead { version: StoreVersion(1), listings },
         ]);
--- a/crates/snipespand/src/gateway/store_watch.rs
+++ b/crates/snipespand/src/gateway/store_watch.rs
@@ -329,8 +329,8 @@
         let _ = self.cx.control.send(Input::Event(event)).await;
     }
 
-    /// Records whether the store answers. The watcher of the listings also reports this to the
-    /// control thread: each answer, and the first of a series of failures.
+    /// Records whether the store answers, and reports each answer to the control thread; the watcher
+    /// of the listings also reports the first of a series of failures.
     async fn record_reachability(&mut self, is_reachable: bool, cause: Option<&CallError>) {
         let is_changed = self.is_reachable != Some(is_reachable);
         self.is_reachable = Some(is_reachable);
@@ -352,9 +352,11 @@
                 );
             }
         }
-        if self.table == Table::Listings && (is_changed || is_reachable) {
-            let event = if is_reachable { Event::StoreAnswered } else { Event::StoreLost };
-            self.send(event).await;
+        match (self.table, is_reachable) {
+            (Table::Operator, true) => self.send(Event::OperatorTableAnswered).await,
+            (Table::Listings, true) => self.send(Event::StoreAnswered).await,
+            (Table::Listings, false) if is_changed => self.send(Event::StoreLost).await,
+            (Table::Operator | Table::Listings, false) | (Table::Gateways, _) => {}
         }
     }
 
