--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -115,6 +115,8 @@
     /// Values of the field `retry-after`, a line each, with which it refuses all requests and
     /// orders; it refuses none if there are none.
     pub retry_after: Vec<String>,
+    /// Value of the field `server-limit` in all its answers, if there is one.
+    pub limit: Option<String>,
 }
 
 /// One execution of a request.
@@ -348,6 +350,9 @@
     if notice.is_leaving {
         fields.insert("server-leaving", HeaderValue::from_static("1"));
     }
+    if let Some(limit) = notice.limit.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        fields.insert("server-limit", limit);
+    }
     if is_refused {
         let values = notice.retry_after.iter().filter_map(|text| HeaderValue::from_str(text).ok());
         for value in values {
--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -310,7 +310,7 @@
             }
             Action::Refuse(index, seconds, duration) => {
                 let retry_after = vec![seconds.to_string()];
-                let notice = ReplicaNotice { is_leaving: false, retry_after };
+                let notice = ReplicaNotice { retry_after, ..ReplicaNotice::default() };
                 self.platform.replicas[index].fake.set_notice(notice);
                 self.schedule_undo(duration, Undo::Refuse(index));
             }
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod home_regions;
 mod large_configurations;
 mod memory;
+mod named_limits;
 mod observing;
 mod odd_answers;
 mod odd_listings;
