Limits that backend servers name are kept by all gateways together

A backend server in need names in its answers how many requests a second it takes from all gateways. It got up to ten times as many, since nothing read the field; each request over what it can do makes it slower for all callers.

Cause: a new field of the platform, without a place in the code. Class: a rate that all gateways share, learnt by some of them before the others. It is now the third of that kind in shared_rates.rs, which apportions it by the same draw as the rates of cold backend servers, in a window of 4 s; named_limits.rs learns it from any answer, tells the peers, and ends it by a success without the field, by a new incarnation or after 30 s in which nobody heard of it. If all backend servers of a service have rates, a request waits only at a gateway with a share, and is refused at once with the time to return otherwise. Zero counts as one request each 20 s. Types of the cold rates that now serve both have names without "cold".

New tests: a model of 1 to 100 gateways, limits of 0 to 40 (kept, at least 0.8 used from 0.3 on), partitions, restarts, changes; the field's values; Retry-After. They use new types and were not run on the code before.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -14,6 +14,7 @@
 use crate::gateway::systems::availability::SendObstacle;
 use crate::gateway::systems::deferral::Overload;
 use crate::gateway::systems::leaving::LeaveReason;
+use crate::gateway::tables::backend_servers::RateReason;
 use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::peers::GatewayView;
 use crate::gateway::tables::prompt_parts::PromptPart;
@@ -305,14 +306,18 @@
         /// Time for which it gets none; `None` if it gets requests again.
         unwanted_for: Option<Duration>,
     },
-    /// This gateway's share of the rate of a cold backend server changed.
-    ColdShareChanged {
+    /// This gateway's share of the rate of a backend server changed.
+    RateShareChanged {
         /// The backend server.
         backend_server: CompactString,
         /// Name of its service.
         service: CompactString,
-        /// Time for which it is still cold.
-        cold_for: Duration,
+        /// Why its requests are limited.
+        reason: RateReason,
+        /// Requests per second of all gateways.
+        rate: f64,
+        /// Time for which the limit still holds unless it is stated again.
+        ends_in: Duration,
         /// How the rate is apportioned.
         apportionment: Apportionment,
         /// What this gateway may send.
@@ -320,18 +325,23 @@
         /// The gateways that this one knows and hears.
         view: GatewayView,
     },
-    /// A cold backend server is warm, or its service has no limit any more.
-    ColdEnded {
+    /// A backend server no longer has a limit.
+    RateEnded {
         /// The backend server.
         backend_server: CompactString,
         /// Name of its service.
         service: CompactString,
+        /// Why its requests were limited.
+        reason: RateReason,
     },
-    /// Only cold backend servers are left for a request, and this gateway may send nothing to them.
-    ColdOnly {
+    /// Only backend servers with a limit are left for a request, and this gateway may send nothing to
+    /// them.
+    RatedOnly {
         /// The request.
         id: CompactString,
-        /// Time until the first of them may get a request.
+        /// Why the first of them is limited.
+        reason: RateReason,
+        /// Time until it may get a request.
         wait: Duration,
         /// Whether the request is refused, as the time is too long for it to wait.
         is_refused: bool,
--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use derive_more::From;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -259,6 +260,21 @@
     pub unwanted_for: Option<Duration>,
     /// Time from the answer for which it is cold; `None` or zero if it does not say so.
     pub cold_for: Option<Duration>,
+    /// Requests that it takes from all gateways together; `None` if it does not say so.
+    pub limit: Option<RequestRate>,
+}
+
+/// A rate of requests, in thousandths of a request per second.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, From, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// Returns the requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
 }
 
 /// A backend server's entry in the store.
@@ -442,6 +458,19 @@
     Leaving,
     /// All evacuated data centres that the sender knows. A receiver applies a newer set only.
     Evacuations(EvacuationSet),
+    /// What backend servers said to the sender of their limits.
+    Limits(Vec<LimitReport>),
+}
+
+/// What a backend server said of its limit in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// [`Listing::instance_hash`] of the backend server.
+    pub instance_hash: u64,
+    /// Requests that it takes from all gateways together; `None` if it names no limit any more.
+    pub limit: Option<RequestRate>,
+    /// Time since the answer, in ms.
+    pub age_ms: u32,
 }
 
 /// A change of one piece of work.
--- a/crates/snipespan_core/src/gateway/systems.rs
+++ b/crates/snipespan_core/src/gateway/systems.rs
@@ -15,6 +15,7 @@
 pub mod home_regions;
 pub mod leaving;
 pub mod membership;
+pub mod named_limits;
 pub mod notifications;
 pub mod pauses;
 pub mod peers;
--- a/crates/snipespan_core/src/gateway/systems/announcements.rs
+++ b/crates/snipespan_core/src/gateway/systems/announcements.rs
@@ -64,6 +64,7 @@
         // A later answer to an earlier request does not shorten the time.
         unwanted_until: known.unwanted_until.max(until),
         cold_until: known.cold_until.max(cold_until),
+        ..known
     };
     if announced == known {
         return;
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -13,6 +13,7 @@
 use crate::gateway::systems::ending;
 use crate::gateway::systems::health;
 use crate::gateway::systems::holding;
+use crate::gateway::systems::named_limits;
 use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::retry_budgets::RetryUse;
@@ -70,6 +71,9 @@
     let helpers = row.helper_work.clone();
     prompt_parts::record_progress(world, now, request, false, effects);
     let Some(work) = world.work.get(key).copied() else { return };
+    if work.phase == Phase::Prefill {
+        named_limits::record_answer(world, now, &work);
+    }
     if work.phase == Phase::Prefill && has_no_helpers {
         health::record_success(world, work.backend_server, effects);
         record_slowdown(world, now, &work);
@@ -115,8 +119,11 @@
         row.longest_gap = longest_gap;
     }
     prompt_parts::record_progress(world, now, request, true, effects);
-    if let Some(server) = world.work.get(key).map(|work| work.backend_server) {
-        health::record_success(world, server, effects);
+    if let Some(work) = world.work.get(key).copied() {
+        if work.phase == Phase::Prefill {
+            named_limits::record_answer(world, now, &work);
+        }
+        health::record_success(world, work.backend_server, effects);
     }
     ending::finish_request(world, now, request, ResultCode::Ok, effects);
 }
--- a/crates/snipespan_core/src/gateway/systems/availability.rs
+++ b/crates/snipespan_core/src/gateway/systems/availability.rs
@@ -6,8 +6,10 @@
 use derive_more::Display;
 
 use crate::gateway::systems::shared_rates;
+use crate::gateway::systems::shared_rates::RateWait;
 use crate::gateway::tables::backend_servers::Availability;
 use crate::gateway::tables::backend_servers::BackendServer;
+use crate::gateway::tables::backend_servers::RateReason;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::world::World;
 use crate::keys::BackendServerKey;
@@ -43,6 +45,14 @@
         /// When the share allows the next request, or when the backend server is warm.
         until: Timestamp,
     },
+    /// It names a limit of requests, and this gateway's share of it is used up.
+    #[display("limited")]
+    Limited {
+        /// When the limit allows the next request of this gateway, or of another one.
+        until: Timestamp,
+        /// Whether this gateway has a share of the limit.
+        has_share: bool,
+    },
     /// It failed or refused this request before.
     #[display("avoided")]
     Avoided,
@@ -55,7 +65,7 @@
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
 #[display(
     "leaving {leaving}, evacuated {evacuated}, outside home regions {outside_home}, unwanted \
-     {unwanted}, cold {cold}, suspended {suspended}, avoided {avoided}, bodies {bodies}"
+     {unwanted}, cold {cold}, limited {limited}, suspended {suspended}, avoided {avoided}, bodies {bodies}"
 )]
 pub struct ObstacleCounts {
     /// Leaving or gone.
@@ -68,6 +78,8 @@
     pub unwanted: usize,
     /// Cold, and this gateway's share of their rate is used up.
     pub cold: usize,
+    /// They name a limit, and this gateway's share of it is used up.
+    pub limited: usize,
     /// Suspended after failures.
     pub suspended: usize,
     /// They failed or refused the request before.
@@ -80,9 +92,10 @@
     /// Returns the earliest time at which the obstacle ends; `None` if that is not known.
     pub const fn until(self) -> Option<Timestamp> {
         match self {
-            Self::Unwanted { until } | Self::Suspended { until } | Self::Cold { until } => {
-                Some(until)
-            }
+            Self::Unwanted { until }
+            | Self::Suspended { until }
+            | Self::Cold { until }
+            | Self::Limited { until, .. } => Some(until),
             Self::Leaving | Self::Evacuated | Self::OutsideHome | Self::Avoided | Self::Bodies => {
                 None
             }
@@ -136,8 +149,11 @@
     if let Some(obstacle) = standing_obstacle(world, now, row, request) {
         return Some(obstacle);
     }
-    let until = shared_rates::next_use(world, now, row)?;
-    Some(SendObstacle::Cold { until })
+    let RateWait { reason, until, has_share } = shared_rates::next_use(world, now, row)?;
+    Some(match reason {
+        RateReason::Cold => SendObstacle::Cold { until },
+        RateReason::Named => SendObstacle::Limited { until, has_share },
+    })
 }
 
 /// Returns why a backend server does not take a request at `now`, however few it gets.
@@ -180,7 +196,7 @@
 }
 
 /// Returns whether a backend server that was chosen earlier for a request still takes it. What it
-/// gets while it is cold was counted when it was chosen.
+/// gets while it has a rate was counted when it was chosen.
 pub fn still_takes(
     world: &World,
     now: Timestamp,
@@ -247,6 +263,7 @@
             Some(SendObstacle::OutsideHome) => &mut counts.outside_home,
             Some(SendObstacle::Unwanted { .. }) => &mut counts.unwanted,
             Some(SendObstacle::Cold { .. }) => &mut counts.cold,
+            Some(SendObstacle::Limited { .. }) => &mut counts.limited,
             Some(SendObstacle::Suspended { .. }) => &mut counts.suspended,
             Some(SendObstacle::Avoided) => &mut counts.avoided,
             Some(SendObstacle::Bodies) => &mut counts.bodies,
@@ -256,17 +273,29 @@
     counts
 }
 
-/// Returns when the first cold backend server of a request's service may get a request from this
-/// gateway, if such ones are all that is left for it; `None` if one takes requests now, or none is
-/// cold.
-pub fn cold_until(world: &World, now: Timestamp, request: &Request) -> Option<Timestamp> {
-    let mut first: Option<Timestamp> = None;
+/// Returns why and until when this gateway may send nothing to the backend servers of a request's
+/// service, if all that are left for it have a rate: for the first of them that takes a request;
+/// `None` if one takes requests now, or none has a rate.
+pub fn only_rated(world: &World, now: Timestamp, request: &Request) -> Option<RateWait> {
+    let mut first: Option<RateWait> = None;
     for (_, row) in world.backend_servers.rows.iter() {
         if row.listing.service != request.service {
             continue;
         }
-        if let SendObstacle::Cold { until } = lasting_obstacle(world, now, row, request)? {
-            first = Some(until.or_sooner(first));
+        let wait = match lasting_obstacle(world, now, row, request)? {
+            SendObstacle::Cold { until } => {
+                RateWait { reason: RateReason::Cold, until, has_share: true }
+            }
+            SendObstacle::Limited { until, has_share } => {
+                RateWait { reason: RateReason::Named, until, has_share }
+            }
+            _ => continue,
+        };
+        // One of which this gateway has a share comes before those for which others have one.
+        let is_sooner =
+            |first: RateWait| (!wait.has_share, wait.until) < (!first.has_share, first.until);
+        if first.is_none_or(is_sooner) {
+            first = Some(wait);
         }
     }
     first
--- a/crates/snipespan_core/src/gateway/systems/holding.rs
+++ b/crates/snipespan_core/src/gateway/systems/holding.rs
@@ -8,6 +8,8 @@
 use crate::gateway::systems::availability;
 use crate::gateway::systems::availability::SendObstacle;
 use crate::gateway::systems::ending;
+use crate::gateway::systems::shared_rates::RateWait;
+use crate::gateway::tables::backend_servers::RateReason;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::world::World;
 use crate::keys::RequestKey;
@@ -17,9 +19,9 @@
 /// Pause before a request without a backend server is placed again; half of an engine iteration.
 const PLACEMENT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Maximum pause before a request that has only cold backend servers left is placed again; another
-/// one may take it before the share of the rate allows the next request.
-const COLD_RECHECK: Duration = Duration::from_millis(100);
+/// Maximum pause before a request that has only backend servers with a rate left is placed again;
+/// another one may take it before the share of the rate allows the next request.
+const RATE_RECHECK: Duration = Duration::from_millis(100);
 
 /// Share of a request's time limit for which it may wait for a backend server; a refused client
 /// needs the rest for its retry.
@@ -29,38 +31,48 @@
 /// the operator changes that.
 const NO_DATA_CENTRE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Returns when a request that has only cold backend servers left may be sent to one of them, if
-/// that is soon enough for it to wait.
-fn cold_wait(world: &World, now: Timestamp, row: &Request) -> Option<Timestamp> {
-    let until = availability::cold_until(world, now, row)?;
+/// Returns when a request that has only backend servers with a rate left may be sent to one of them,
+/// if that is soon enough for it to wait.
+fn rate_wait(world: &World, now: Timestamp, row: &Request) -> Option<RateWait> {
+    let wait = availability::only_rated(world, now, row)?;
     let time_limit = row.deadline.since(row.arrived);
-    (until <= row.arrived.after(time_limit.mul_f64(PLACEMENT_WAIT_SHARE))).then_some(until)
+    let is_soon = wait.until <= row.arrived.after(time_limit.mul_f64(PLACEMENT_WAIT_SHARE));
+    (wait.has_share && is_soon).then_some(wait)
 }
 
-/// Logs that only cold backend servers are left for a request, when it begins to wait and when it
-/// is refused.
-fn log_cold_only(
+/// Logs that only backend servers with a rate are left for a request, when it begins to wait and when
+/// it is refused.
+fn log_rated_only(
     world: &mut World,
     now: Timestamp,
     key: RequestKey,
-    until: Timestamp,
+    (reason, until): (RateReason, Timestamp),
     is_refused: bool,
     effects: &mut Vec<Effect>,
 ) {
     let Some(row) = world.requests.get(key) else { return };
-    match is_refused {
-        true => world.counters.cold_refusals += 1,
-        false if !row.is_first_placement() => return,
-        false => world.counters.cold_waits += 1,
-    }
+    let counters = &mut world.counters;
+    let count = match (reason, is_refused) {
+        (_, false) if !row.is_first_placement() => return,
+        (RateReason::Cold, true) => &mut counters.cold_refusals,
+        (RateReason::Cold, false) => &mut counters.cold_waits,
+        (RateReason::Named, true) => &mut counters.limited_refusals,
+        (RateReason::Named, false) => &mut counters.limited_waits,
+    };
+    *count += 1;
     let (id, wait) = (row.id.clone(), until.since(now));
-    effects.push(Effect::LogDecision(Box::new(Decision::ColdOnly { id, wait, is_refused })));
+    effects.push(Effect::LogDecision(Box::new(Decision::RatedOnly {
+        id,
+        reason,
+        wait,
+        is_refused,
+    })));
 }
 
 /// Refuses a request at once if no backend server of its service takes it, until the first of them
 /// takes some again; returns whether it was refused. A stream that its client has seen a part of
-/// waits for that if its client does, and a request waits for a cold backend server for
-/// `PLACEMENT_WAIT_SHARE` of its time limit.
+/// waits for that if its client does, and a request waits for `PLACEMENT_WAIT_SHARE` of its time limit
+/// for a backend server with a rate of which this gateway has a share.
 pub fn refuse_if_unavailable(
     world: &mut World,
     now: Timestamp,
@@ -69,7 +81,7 @@
 ) -> bool {
     let Some(row) = world.requests.get(key) else { return false };
     let Some(obstacle) = availability::common_obstacle(world, now, row) else { return false };
-    if cold_wait(world, now, row).is_some() {
+    if rate_wait(world, now, row).is_some() {
         return false;
     }
     let return_at = obstacle.until().unwrap_or(row.deadline);
@@ -88,8 +100,13 @@
         counts: availability::count_obstacles(world, now, row),
         change_in: obstacle.until().map(|until| until.since(now)),
     })));
-    if let SendObstacle::Cold { until } = obstacle {
-        log_cold_only(world, now, key, until, true, effects);
+    let rated = match obstacle {
+        SendObstacle::Cold { until } => Some((RateReason::Cold, until)),
+        SendObstacle::Limited { until, .. } => Some((RateReason::Named, until)),
+        _ => None,
+    };
+    if let Some(rated) = rated {
+        log_rated_only(world, now, key, rated, true, effects);
     }
     match obstacle {
         SendObstacle::Evacuated => world.counters.refused_evacuated += 1,
@@ -98,6 +115,7 @@
         | SendObstacle::Unwanted { .. }
         | SendObstacle::Suspended { .. }
         | SendObstacle::Cold { .. }
+        | SendObstacle::Limited { .. }
         | SendObstacle::Bodies
         | SendObstacle::Avoided => {
             ending::end_until(world, now, key, code, return_at, effects);
@@ -115,6 +133,7 @@
         | SendObstacle::Unwanted { .. }
         | SendObstacle::Suspended { .. }
         | SendObstacle::Cold { .. }
+        | SendObstacle::Limited { .. }
         | SendObstacle::Bodies
         | SendObstacle::Avoided => ResultCode::BackendRefused,
     }
@@ -127,10 +146,9 @@
         return;
     }
     let Some(row) = world.requests.get(key) else { return };
-    let cold_until = availability::cold_until(world, now, row);
-    if let Some(until) = cold_until {
-        log_cold_only(world, now, key, until, false, effects);
-        world.schedule_placement(key, until.min(now.after(COLD_RECHECK)));
+    if let Some(RateWait { reason, until, .. }) = availability::only_rated(world, now, row) {
+        log_rated_only(world, now, key, (reason, until), false, effects);
+        world.schedule_placement(key, until.min(now.after(RATE_RECHECK)));
         return;
     }
     let Some(row) = world.requests.get_mut(key) else { return };
--- a/crates/snipespan_core/src/gateway/systems/membership.rs
+++ b/crates/snipespan_core/src/gateway/systems/membership.rs
@@ -13,7 +13,7 @@
 use crate::gateway::systems::feeds;
 use crate::gateway::tables::backend_servers::Availability;
 use crate::gateway::tables::backend_servers::BackendServer;
-use crate::gateway::tables::backend_servers::ColdRate;
+use crate::gateway::tables::backend_servers::ServerRate;
 use crate::gateway::world::World;
 use crate::keys::BackendServerKey;
 use crate::time::Timestamp;
@@ -136,7 +136,7 @@
         return;
     }
     row.record_listed_cold_time(now, listing);
-    // The cold time changes with each beat of a cold backend server; `ColdShareChanged` is logged
+    // The cold time changes with each beat of a cold backend server; `RateShareChanged` is logged
     // for what follows from it.
     let is_logged = !row.listing.is_same_but_cold_time(listing) || row.availability != availability;
     let is_new_incarnation = row.listing.started_unix_ms != listing.started_unix_ms;
@@ -214,10 +214,11 @@
         |row: &BackendServer| row.availability == Availability::Gone && row.work.is_empty();
     let removable: Vec<_> = rows.filter(|(_, row)| is_removable(row)).map(|(key, _)| key).collect();
     for key in removable {
-        if let Some(row) = world.backend_servers.remove(key)
-            && let ColdRate::Limited(rate) = row.cold_rate
-        {
-            world.shared_rates.rows.remove(rate);
+        let Some(row) = world.backend_servers.remove(key) else { continue };
+        for rate in [row.cold_rate, row.named_rate] {
+            if let ServerRate::Limited(rate) = rate {
+                world.shared_rates.rows.remove(rate);
+            }
         }
     }
 }
--- a/crates/snipespan_core/src/gateway/systems/notifications.rs
+++ b/crates/snipespan_core/src/gateway/systems/notifications.rs
@@ -14,6 +14,7 @@
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::systems::evacuations;
 use crate::gateway::systems::feeds;
+use crate::gateway::systems::named_limits;
 use crate::gateway::systems::prompt_parts;
 use crate::gateway::systems::relays;
 use crate::gateway::tables::memory_budget::MAX_SHORT_BODY;
@@ -35,6 +36,9 @@
 /// Maximum number of changed listings in one datagram, which keeps it below 1,400 bytes.
 const LISTINGS_PER_MESSAGE: usize = 9;
 
+/// Maximum number of limits of backend servers in one datagram, which keeps it below 1,400 bytes.
+const LIMITS_PER_MESSAGE: usize = 50;
+
 /// Maximum number of suspected parts in one datagram, which keeps it below 1,400 bytes.
 pub const PARTS_PER_MESSAGE: usize = 4;
 
@@ -64,6 +68,11 @@
             send_update(world, now, PeerUpdate::PromptParts(reports), effects);
         }
     }
+    let with_snapshot = now >= world.snapshot_due;
+    for reports in named_limits::take_reports(world, now, with_snapshot).chunks(LIMITS_PER_MESSAGE)
+    {
+        send_update(world, now, PeerUpdate::Limits(reports.to_vec()), effects);
+    }
     let new_peers = std::mem::take(&mut world.new_peers);
     if !new_peers.is_empty() {
         if let Some(set) = evacuations::known_set(world) {
@@ -107,7 +116,7 @@
 /// Returns when a message is due without a change.
 fn next_due(world: &World, now: Timestamp) -> Timestamp {
     let due = world.snapshot_due.or_sooner(feeds::next_report(world));
-    due.or_sooner(evacuations::next_report(world, now))
+    due.or_sooner(evacuations::next_report(world, now)).or_sooner(named_limits::next_report(world))
 }
 
 /// Sends the blocked parts of prompts to gateways that were just found.
--- a/crates/snipespan_core/src/gateway/systems/pauses.rs
+++ b/crates/snipespan_core/src/gateway/systems/pauses.rs
@@ -60,7 +60,7 @@
     now: Timestamp,
     wake_at: Option<Timestamp>,
 ) -> Option<Timestamp> {
-    let is_watched = !world.requests.is_empty() || world.shared_rates.has_cold_servers();
+    let is_watched = !world.requests.is_empty() || world.shared_rates.has_servers();
     let watch_at = is_watched.then(|| now.after(WATCH_INTERVAL));
     world.wake_planned = [wake_at, watch_at].into_iter().flatten().min();
     world.wake_planned
--- a/crates/snipespan_core/src/gateway/systems/peers.rs
+++ b/crates/snipespan_core/src/gateway/systems/peers.rs
@@ -137,8 +137,12 @@
             changes.iter().for_each(|change| apply_change(world, now, key, change));
         }
         PeerUpdate::Snapshot(reports) => apply_snapshot(world, now, key, reports),
-        // Applied by the systems that keep the backend servers, suspected parts and evacuations.
-        PeerUpdate::Listings(_) | PeerUpdate::PromptParts(_) | PeerUpdate::Evacuations(_) => {}
+        // Applied by the systems that keep the backend servers, suspected parts, evacuations and
+        // limits.
+        PeerUpdate::Listings(_)
+        | PeerUpdate::PromptParts(_)
+        | PeerUpdate::Evacuations(_)
+        | PeerUpdate::Limits(_) => {}
         PeerUpdate::Leaving => {
             let work = remove_peer_work(world, now, key);
             log_peer_change(world, key, false, work, effects);
--- a/crates/snipespan_core/src/gateway/systems/sending.rs
+++ b/crates/snipespan_core/src/gateway/systems/sending.rs
@@ -53,8 +53,8 @@
     pub helpers: Vec<Helper>,
     /// The work of helpers that is not in the table yet, with the engine of each.
     pub helper_work: Vec<(BackendServerKey, WorkDemand)>,
-    /// Whether the sends were counted against the rates of cold backend servers when their engines
-    /// were chosen.
+    /// Whether the sends were counted against the rates of backend servers when their engines were
+    /// chosen.
     pub is_counted: bool,
 }
 
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Returns the backend servers whose rates it takes from while they are cold.
+    /// Returns the backend servers whose rates it takes from, if they have any.
     fn counted_servers(&self) -> impl Iterator<Item = BackendServerKey> {
         let helpers = self.helper_work.iter().map(|(server, _)| *server);
         std::iter::once(self.choice.backend_server).chain(helpers)
--- a/crates/snipespan_core/src/gateway/systems/spans.rs
+++ b/crates/snipespan_core/src/gateway/systems/spans.rs
@@ -78,7 +78,7 @@
     let works = split.servers.iter().filter_map(start).collect();
     let tokens = split.part_tokens;
     // The engines of a split take one more request each.
-    let counted = split.servers.iter().map(|server| count_if_cold(world, now, *server));
+    let counted = split.servers.iter().map(|server| count_if_rated(world, now, *server));
     let counted: Vec<_> = counted.collect();
     let reservation = |(server, is_counted): (&BackendServerKey, bool)| Reservation {
         backend_server: *server,
@@ -108,10 +108,11 @@
     }
 }
 
-/// Counts a send to an engine against its rate if it is cold; returns whether it was counted.
-fn count_if_cold(world: &mut World, now: Timestamp, server: BackendServerKey) -> bool {
-    let is_cold = world.backend_servers.rows.get(server).is_some_and(|row| now < row.cold_until());
-    is_cold && shared_rates::try_use(world, now, server)
+/// Counts a send to an engine against its rates if it has any; returns whether it was counted.
+fn count_if_rated(world: &mut World, now: Timestamp, server: BackendServerKey) -> bool {
+    let row = world.backend_servers.rows.get(server);
+    let has_rate = row.is_some_and(|row| shared_rates::has_rate(now, row));
+    has_rate && shared_rates::try_use(world, now, server)
 }
 
 /// Returns the name of the reservations of a request's span, the same at all engines and at no other
@@ -230,9 +231,9 @@
     }
     let uncounted: Vec<_> = span.reservations.iter().filter(|r| !r.is_counted).collect();
     let uncounted: Vec<_> = uncounted.into_iter().map(|r| r.backend_server).collect();
-    // An engine may have become cold since it was chosen.
+    // An engine may have become cold, or have named a limit, since it was chosen.
     if !uncounted.into_iter().all(|server| shared_rates::try_use(world, now, server)) {
-        abandon_span(world, now, key, "engine cold", effects);
+        abandon_span(world, now, key, "engine limited", effects);
         return;
     }
     let Some(row) = world.requests.get(key) else { return };
--- a/crates/snipespan_core/src/gateway/tables.rs
+++ b/crates/snipespan_core/src/gateway/tables.rs
@@ -4,6 +4,7 @@
 pub mod data_centres;
 pub mod evacuations;
 pub mod memory_budget;
+pub mod named_limits;
 pub mod peers;
 pub mod prompt_parts;
 pub mod relays;
--- a/crates/snipespan_core/src/gateway/tables/backend_servers.rs
+++ b/crates/snipespan_core/src/gateway/tables/backend_servers.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use derive_more::Display;
 
 use crate::gateway::event::Listing;
+use crate::gateway::event::RequestRate;
 use crate::gateway::tables::memory_budget::MAX_SHORT_BODY;
 use crate::keys::BackendServerKey;
 use crate::keys::DataCentreKey;
@@ -72,20 +74,35 @@
     pub unwanted_until: Timestamp,
     /// Time until which it is cold; zero if it did not say so.
     pub cold_until: Timestamp,
+    /// Requests that it takes from all gateways together; `None` if it names no limit.
+    pub limit: Option<RequestRate>,
+    /// When the last answer arrived, at any gateway, that told of `limit`.
+    pub limit_heard: Timestamp,
 }
 
-/// The limit on the requests to a backend server while it is cold.
+/// A limit on the requests to a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ColdRate {
-    /// It is warm, or there is no limit.
+pub enum ServerRate {
+    /// There is none.
     #[default]
     Unlimited,
     /// All gateways together may use a rate.
     Limited(SharedRateKey),
-    /// There is a limit, but the table of rates is full: it gets no requests while it is cold.
+    /// There is one, but the table of rates is full: the backend server gets no requests.
     Unrated,
 }
 
+/// Why the requests to a backend server are limited.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RateReason {
+    /// It is cold, and its service states a limit for that.
+    #[display("cold")]
+    Cold,
+    /// It names a limit in its answers.
+    #[display("limited")]
+    Named,
+}
+
 /// A backend server of any service.
 #[derive(Clone, Debug)]
 pub struct BackendServer {
@@ -100,7 +117,9 @@
     /// Time until which it is cold by its listings, as counted from when they were read.
     listed_cold_until: Timestamp,
     /// The limit on the requests to it while it is cold, as of this tick.
-    pub cold_rate: ColdRate,
+    pub cold_rate: ServerRate,
+    /// The limit that it names, as of this tick.
+    pub named_rate: ServerRate,
     /// Open work at it, oldest first.
     pub work: Vec<WorkKey>,
     /// Bytes of the bodies of that work, as far as this gateway knows.
@@ -137,7 +156,8 @@
             availability,
             announced: Announced::default(),
             listed_cold_until,
-            cold_rate: ColdRate::Unlimited,
+            cold_rate: ServerRate::Unlimited,
+            named_rate: ServerRate::Unlimited,
             work: Vec::new(),
             body_bytes: 0,
             failures: 0,
@@ -178,6 +198,22 @@
         }
     }
 
+    /// Returns the limit on the requests to it for a reason.
+    pub const fn rate(&self, reason: RateReason) -> ServerRate {
+        match reason {
+            RateReason::Cold => self.cold_rate,
+            RateReason::Named => self.named_rate,
+        }
+    }
+
+    /// Returns the limit on the requests to it for a reason, to be changed.
+    pub const fn rate_mut(&mut self, reason: RateReason) -> &mut ServerRate {
+        match reason {
+            RateReason::Cold => &mut self.cold_rate,
+            RateReason::Named => &mut self.named_rate,
+        }
+    }
+
     /// Returns whether its memory may be too small for a further body of this length.
     pub const fn is_full_of_bodies(&self, bytes: u64) -> bool {
         let limit = match bytes {
--- a/crates/snipespan_core/src/gateway/tables/shared_rates.rs
+++ b/crates/snipespan_core/src/gateway/tables/shared_rates.rs
@@ -2,7 +2,7 @@
 //!
 //! A row says how much all gateways may use in any window, and how that is apportioned. What this
 //! gateway used is counted in buckets, each a part of the window. `systems/shared_rates.rs`
-//! apportions the rates of cold backend servers.
+//! apportions the rates of backend servers.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -11,22 +11,23 @@
 use derive_more::Display;
 
 use crate::gateway::tables::backend_servers::MAX_BACKEND_SERVERS;
+use crate::gateway::tables::backend_servers::RateReason;
 use crate::keys::BackendServerKey;
 use crate::keys::SharedRateKey;
 use crate::table::Entity;
 use crate::table::Table;
 use crate::time::Timestamp;
 
-/// Maximum number of rates: one for each backend server, and those of services. While the table is
-/// full, a service gets no retries and a cold backend server no requests.
-pub const MAX_SHARED_RATES: usize = MAX_BACKEND_SERVERS + 4096;
+/// Maximum number of rates: two for each backend server, and those of services. While the table is
+/// full, a service gets no retries and a backend server with a limit no requests.
+pub const MAX_SHARED_RATES: usize = 2 * MAX_BACKEND_SERVERS + 4096;
 
 /// Number of buckets in a window of retries.
 const RETRY_BUCKETS: u32 = 10;
 
-/// Number of buckets in a window of a cold backend server. A use counts for up to a bucket longer
+/// Number of buckets in a window of a backend server. A use counts for up to a bucket longer
 /// than the window, so that no window of any start has more; a hundredth of the rate is lost.
-const COLD_BUCKETS: u32 = 100;
+const SERVER_BUCKETS: u32 = 100;
 
 /// Index of a service's name among those that have a rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +38,8 @@
 pub enum RateTarget {
     /// Retries of the requests to a service.
     Retries(RateService),
-    /// Requests, helpers and span engines at a backend server that is cold.
-    ColdServer(BackendServerKey),
+    /// Requests, helpers and span engines at a backend server.
+    Server(BackendServerKey, RateReason),
 }
 
 /// How a rate is apportioned to the gateways.
@@ -193,7 +194,7 @@
         while self.buckets.front().is_some_and(|bucket| now.since(bucket.start) >= counted_for) {
             self.buckets.pop_front();
         }
-        self.bucket_mut(now, allowance.window / COLD_BUCKETS).uses += 1;
+        self.bucket_mut(now, allowance.window / SERVER_BUCKETS).uses += 1;
         true
     }
 
@@ -244,10 +245,10 @@
     }
 }
 
-/// Returns how long a bucket of a cold backend server counts from its start: until its last use has
+/// Returns how long a bucket of a backend server counts from its start: until its last use has
 /// left the window.
 fn counted_for(allowance: Allowance) -> Duration {
-    allowance.window.saturating_add(allowance.window / COLD_BUCKETS)
+    allowance.window.saturating_add(allowance.window / SERVER_BUCKETS)
 }
 
 /// All rates that gateways share.
@@ -266,9 +267,9 @@
 }
 
 impl SharedRates {
-    /// Returns whether any cold backend server has a rate.
-    pub fn has_cold_servers(&self) -> bool {
-        self.rows.iter().any(|(_, row)| matches!(row.target, RateTarget::ColdServer(_)))
+    /// Returns whether any backend server has a rate.
+    pub fn has_servers(&self) -> bool {
+        self.rows.iter().any(|(_, row)| matches!(row.target, RateTarget::Server(..)))
     }
 
     /// Returns the rate of the retries of a service, which is added if there is none; `None` if the
--- a/crates/snipespan_core/src/gateway/tick.rs
+++ b/crates/snipespan_core/src/gateway/tick.rs
@@ -11,6 +11,7 @@
 use crate::gateway::systems::home_regions;
 use crate::gateway::systems::leaving;
 use crate::gateway::systems::membership;
+use crate::gateway::systems::named_limits;
 use crate::gateway::systems::notifications;
 use crate::gateway::systems::pauses;
 use crate::gateway::systems::peers;
@@ -49,7 +50,8 @@
     let fetch_at = serving_fetches::run(world, now, events, &mut effects);
     prompt_parts::run(world, now, events, &mut effects);
     let follow_at = feeds::run(world, now, &mut effects);
-    let cold_at = shared_rates::run(world, now, &mut effects);
+    named_limits::run(world, now, events);
+    let rate_at = shared_rates::run(world, now, &mut effects);
     let refuse_at = arrivals::run(world, now, events, &mut effects);
     leaving::run(world, events);
     attempts::run(world, now, events, &mut effects);
@@ -64,7 +66,7 @@
         return_at,
         fetch_at,
         follow_at,
-        cold_at,
+        rate_at,
         refuse_at,
         expire_at,
         stall_at,
--- a/crates/snipespan_core/src/gateway/world.rs
+++ b/crates/snipespan_core/src/gateway/world.rs
@@ -23,6 +23,7 @@
 use crate::gateway::tables::backend_servers::BackendServers;
 use crate::gateway::tables::data_centres::DataCentres;
 use crate::gateway::tables::evacuations::Evacuations;
+use crate::gateway::tables::named_limits::NamedLimits;
 use crate::gateway::tables::peers::GatewayView;
 use crate::gateway::tables::peers::MAX_PEERS;
 use crate::gateway::tables::peers::Peer;
@@ -141,6 +142,12 @@
     pub cold_waits: u64,
     /// Requests that were refused because only cold backend servers were left.
     pub cold_refusals: u64,
+    /// Requests, helpers and span engines that were sent to backend servers that name a limit.
+    pub limited_sends: u64,
+    /// Requests that waited because only backend servers with a limit were left.
+    pub limited_waits: u64,
+    /// Requests that were refused because only backend servers with a limit were left.
+    pub limited_refusals: u64,
     /// Requests that were refused because there was no memory for their body.
     pub bodies_refused: u64,
     /// Streamed answers that ended because their client did not read them.
@@ -217,8 +224,11 @@
     pub serving_fetch: ServingFetch,
     /// The gateways that this one knows and hears.
     pub gateway_view: GatewayView,
-    /// Rates that all gateways share: retries to each service, requests to cold backend servers.
+    /// Rates that all gateways share: retries to each service, requests to backend servers that are
+    /// cold or name a limit.
     pub shared_rates: SharedRates,
+    /// Limits that backend servers named to this gateway.
+    pub named_limits: NamedLimits,
     /// Gateways that relay this one's messages in other data centres.
     pub relays: RelayChoices,
     /// This gateway's shares of what other data centres offer.
@@ -265,6 +275,7 @@
             serving_fetch: ServingFetch::default(),
             gateway_view: GatewayView::default(),
             shared_rates: SharedRates::default(),
+            named_limits: NamedLimits::default(),
             relays: RelayChoices::default(),
             remote_shares: RemoteShares::default(),
             suspects: Suspects::default(),
--- a/crates/snipespan_core/tests/gateway/cold_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/cold_fleet.rs
@@ -1,14 +1,17 @@
 //! Load pattern: all gateways have more work for a cold backend server than it takes, while some of
-//! them restart, pause, or do not hear each other.
+//! them restart, pause, or do not hear each other. `limit_fleet.rs` uses the same gateways before a
+//! backend server that names a limit.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rstest::rstest;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::event::Announcement;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
 use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::event::RequestRate;
 use snipespan_core::gateway::event::StoreVersion;
 use snipespan_core::time::Timestamp;
 
@@ -28,7 +31,7 @@
 
 /// Which gateways hear each other.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Links {
+pub(crate) enum Links {
     All,
     /// Those below the number and the others are cut off from each other.
     Split(usize),
@@ -37,11 +40,11 @@
     None,
 }
 
-/// Gateways before one cold backend server, in simulated time.
-struct Fleet {
-    gateways: Vec<Kit>,
-    now: Timestamp,
-    links: Links,
+/// Gateways before one backend server, in simulated time.
+pub(crate) struct Fleet {
+    pub(crate) gateways: Vec<Kit>,
+    pub(crate) now: Timestamp,
+    pub(crate) links: Links,
     frozen: Vec<usize>,
     messages: Vec<(usize, PeerMessage)>,
     pending: Vec<Vec<Event>>,
@@ -49,7 +52,11 @@
     started: Vec<Timestamp>,
     steps: usize,
     /// When a request was sent to the backend server.
-    sends: Vec<Timestamp>,
+    pub(crate) sends: Vec<Timestamp>,
+    /// The backend server's listing.
+    listing: Listing,
+    /// The limit that it names in its answers.
+    pub(crate) limit: Option<RequestRate>,
 }
 
 fn address(gateway: usize) -> SocketAddr {
@@ -61,7 +68,17 @@
 }
 
 impl Fleet {
+    /// Creates gateways before a backend server that is cold.
     fn new(count: usize) -> Self {
+        Self::with_listing(count, cold_listing())
+    }
+
+    /// Creates gateways before a backend server that is warm and names no limit yet.
+    pub(crate) fn warm(count: usize) -> Self {
+        Self::with_listing(count, kit::listing(PLAIN, 101))
+    }
+
+    fn with_listing(count: usize, listing: Listing) -> Self {
         let now = Timestamp::from_micros(0);
         let mut fleet = Self {
             gateways: Vec::new(),
@@ -73,6 +90,8 @@
             started: vec![now; count],
             steps: 0,
             sends: Vec::new(),
+            listing,
+            limit: None,
         };
         fleet.gateways = (0..count).map(|gateway| fleet.start(gateway, count)).collect();
         fleet
@@ -91,13 +110,13 @@
         kit.step(vec![
             Event::StoreAnswered,
             Event::ServingReceived { serving, is_from_store: true },
-            Event::ListingsRead { version: StoreVersion(1), listings: vec![cold_listing()] },
+            Event::ListingsRead { version: StoreVersion(1), listings: vec![self.listing.clone()] },
             Event::PeersRead(peers),
         ]);
         kit
     }
 
-    fn restart(&mut self, gateway: usize) {
+    pub(crate) fn restart(&mut self, gateway: usize) {
         self.started[gateway] = self.now;
         self.gateways[gateway] = self.start(gateway, self.gateways.len());
         self.pending[gateway].clear();
@@ -127,7 +146,7 @@
         }
     }
 
-    fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let until = self.now.after(time);
         while self.now < until {
             self.now = self.now.after(STEP);
@@ -163,6 +182,13 @@
                 Effect::Send { dispatch, .. } => {
                     self.sends.push(self.now);
                     let (work, longest_gap) = (dispatch.work, Duration::ZERO);
+                    if self.limit.is_some() {
+                        let instance_hash = dispatch.instance_hash;
+                        let announcement =
+                            Announcement { limit: self.limit, ..Announcement::default() };
+                        self.pending[gateway]
+                            .push(Event::BackendServerAnnounced { instance_hash, announcement });
+                    }
                     self.pending[gateway].push(Event::AttemptCompleted { work, longest_gap });
                 }
                 Effect::NotifyPeers { message, .. } => self.messages.push((gateway, *message)),
@@ -181,14 +207,14 @@
     }
 
     /// Returns the sends per second during the next `time`.
-    fn rate_during(&mut self, time: Duration) -> f64 {
+    pub(crate) fn rate_during(&mut self, time: Duration) -> f64 {
         let before = self.sends.len();
         self.run(time);
         (self.sends.len() - before) as f64 / time.as_secs_f64()
     }
 }
 
-fn secs(secs: u64) -> Duration {
+pub(crate) fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
 }
 
--- a/crates/snipespan_core/tests/gateway/cold_servers.rs
+++ b/crates/snipespan_core/tests/gateway/cold_servers.rs
@@ -66,7 +66,7 @@
 fn cold_lines(kit: &Kit) -> usize {
     let is_cold = |effect: &&Effect| {
         matches!(effect, Effect::LogDecision(decision)
-            if matches!(**decision, Decision::ColdShareChanged { .. } | Decision::ColdEnded { .. }))
+            if matches!(**decision, Decision::RateShareChanged { .. } | Decision::RateEnded { .. }))
     };
     kit.effects.iter().filter(is_cold).count()
 }
@@ -228,7 +228,7 @@
     kit.arrive(path, tokens);
     let line = kit.effects.iter().any(|effect| {
         matches!(effect, Effect::LogDecision(decision)
-            if matches!(**decision, Decision::ColdOnly { is_refused, .. } if is_refused != waits))
+            if matches!(**decision, Decision::RatedOnly { is_refused, .. } if is_refused != waits))
     });
     assert!(line, "{:?}", kit.effects);
     if waits {
--- a/crates/snipespan_core/tests/gateway/main.rs
+++ b/crates/snipespan_core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod home_regions;
 mod kit;
 mod leaving;
+mod limit_fleet;
 mod long_bodies;
 mod membership;
 mod memory_budget;
--- a/crates/snipespan_core/tests/gateway/shared_rates.rs
+++ b/crates/snipespan_core/tests/gateway/shared_rates.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use slotmap::Key;
 use snipespan_core::gateway::systems::shared_rates;
-use snipespan_core::gateway::systems::shared_rates::ColdLimit;
+use snipespan_core::gateway::systems::shared_rates::RateLimit;
+use snipespan_core::gateway::tables::backend_servers::RateReason;
 use snipespan_core::gateway::tables::peers::GatewayView;
 use snipespan_core::gateway::tables::shared_rates::Apportionment;
 use snipespan_core::gateway::tables::shared_rates::RateTarget;
@@ -18,7 +19,7 @@
 use snipespan_core::keys::BackendServerKey;
 use snipespan_core::time::Timestamp;
 
-const LIMIT: ColdLimit = ColdLimit { rate: 28.0, bound: 47.0 };
+const LIMIT: RateLimit = RateLimit { rate: 28.0, bound: 47.0, part: 4.0 };
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Bytes that a gateway adds to its snapshot for a cold backend server where demand is reported:
@@ -76,7 +77,7 @@
         Way::Owners(owners) if rank < owners => (LIMIT.rate, Apportionment::Owner { rank, owners }),
         Way::Owners(_) => (LIMIT.rate, Apportionment::Nothing),
         Way::Built => {
-            let share = shared_rates::cold_share(view, LIMIT, rank as usize, draw);
+            let share = shared_rates::rate_share(view, LIMIT, rank as usize, draw);
             (share.amount, share.apportionment)
         }
     }
@@ -86,7 +87,7 @@
 /// backend server; those that the share does not allow go elsewhere.
 fn play(way: Way, gateways: usize, demand: f64) -> Figures {
     let mut rng = SmallRng::seed_from_u64(1);
-    let target = RateTarget::ColdServer(BackendServerKey::null());
+    let target = RateTarget::Server(BackendServerKey::null(), RateReason::Cold);
     let mut rates = vec![SharedRate::new(target, 0.0, SECOND); gateways];
     let (mut last, mut current) = (vec![1_u32; gateways], vec![0_u32; gateways]);
     let (mut sends, mut shared_at) = (Vec::new(), None);
@@ -170,17 +171,17 @@
 #[case::small_rate(2.5, 8.75, 3)]
 #[case::less_than_one(0.5, 5.75, 5)]
 #[case::large_rate(500.0, 755.0, 300)]
-fn cold_share_of_all_gateways_within_the_bound(
+fn rate_share_of_all_gateways_within_the_bound(
     #[case] rate: f64,
     #[case] bound: f64,
     #[case] known: usize,
 ) {
-    let limit = ColdLimit { rate, bound };
+    let limit = RateLimit { rate, bound, part: 4.0 };
     let uses_of = |heard: usize| -> u32 {
         let view = GatewayView { heard, known, has_list: true, ..GatewayView::default() };
         let uses = (0..heard).map(|rank| {
-            let share = shared_rates::cold_share(&view, limit, rank, 0);
-            let target = RateTarget::ColdServer(BackendServerKey::null());
+            let share = shared_rates::rate_share(&view, limit, rank, 0);
+            let target = RateTarget::Server(BackendServerKey::null(), RateReason::Cold);
             let mut rate = SharedRate::new(target, share.amount, SECOND);
             rate.apportionment = share.apportionment;
             rate.allowance().uses
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -7,6 +7,7 @@
 use snipespan_core::gateway::decision::EvacuationSource;
 use snipespan_core::gateway::decision::EvacuationStep;
 use snipespan_core::gateway::event::AnswerStage;
+use snipespan_core::gateway::tables::backend_servers::RateReason;
 use snipespan_core::result_code::ResultCode;
 
 use crate::gateway::metrics::GatewayMetrics;
@@ -74,9 +75,9 @@
                 limit_ms = overload.limit_ms, waited_ms = ms(*waited); "given up under overload"
             );
         }
-        Decision::ColdOnly { id, wait, is_refused } => log::info!(
+        Decision::RatedOnly { id, reason, wait, is_refused } => log::info!(
             request = id.as_str(), wait_ms = ms(*wait), is_refused;
-            "only cold backend servers left"
+            "only {reason} backend servers left"
         ),
         Decision::NotRun { id, backend_server, reason, after } => {
             metrics.count("attempt_not_run");
@@ -185,23 +186,36 @@
                 unwanted_ms = unwanted_for.map_or(0.0, ms); "{message}"
             );
         }
-        Decision::ColdShareChanged {
+        Decision::RateShareChanged {
             backend_server,
             service,
-            cold_for,
+            reason,
+            rate,
+            ends_in,
             apportionment,
             allowance,
             view,
-        } => log::info!(
-            backend_server = backend_server.as_str(), service = service.as_str(),
-            cold_ms = ms(*cold_for), apportionment:%, uses = allowance.uses,
-            window_ms = ms(allowance.window), heard = view.heard, known = view.known;
-            "backend server cold"
-        ),
-        Decision::ColdEnded { backend_server, service } => log::info!(
-            backend_server = backend_server.as_str(), service = service.as_str();
-            "backend server no longer cold"
-        ),
+        } => {
+            let message = match reason {
+                RateReason::Cold => "backend server cold",
+                RateReason::Named => "backend server names a limit",
+            };
+            log::info!(
+                backend_server = backend_server.as_str(), service = service.as_str(),
+                rate_per_s = rate, ends_in_ms = ms(*ends_in), apportionment:%,
+                uses = allowance.uses, window_ms = ms(allowance.window), heard = view.heard,
+                known = view.known; "{message}"
+            );
+        }
+        Decision::RateEnded { backend_server, service, reason } => {
+            let message = match reason {
+                RateReason::Cold => "backend server no longer cold",
+                RateReason::Named => "backend server names no limit any more",
+            };
+            log::info!(
+                backend_server = backend_server.as_str(), service = service.as_str(); "{message}"
+            );
+        }
         Decision::StoreChanged { is_reachable, lasted } => {
             let message = if *is_reachable { "store regained" } else { "store lost" };
             log::info!(lasted_ms = ms(*lasted); "{message}");
@@ -242,7 +256,7 @@
         | Decision::Placed { .. }
         | Decision::Held { .. }
         | Decision::Unservable { .. }
-        | Decision::ColdOnly { .. }
+        | Decision::RatedOnly { .. }
         | Decision::Deferred { .. }
         | Decision::GivenUp { .. }
         | Decision::NotRun { .. }
--- a/crates/snipespand/tests/gateway/named_limits.rs
+++ b/crates/snipespand/tests/gateway/named_limits.rs
@@ -77,3 +77,27 @@
     assert!(used >= 6, "{used} requests in 8 s");
     assert_eq!(served, sent);
 }
+
+/// Guards against requests that wait until their deadline for a service whose only backend server names
+/// a limit, and against refusals that do not say when to come back.
+#[tokio::test]
+async fn request_over_the_limit_is_refused_with_the_time_to_return() {
+    let platform = TestPlatform::start(1).await;
+    let gateway = platform.gateway("gateway-1").await;
+    platform.plain[0].set_notice(limited("0.5"));
+    let mut refused = 0;
+    for number in 0..8 {
+        let began = Instant::now();
+        let answer = gateway.call(Method::GET, "/look/1", &format!("request-{number}")).await;
+        assert!(began.elapsed() < Duration::from_millis(2500), "{:?}", began.elapsed());
+        if answer.status == 200 {
+            continue;
+        }
+        refused += 1;
+        assert_eq!(answer.status, 503);
+        let after = answer.headers["retry-after"].to_str().expect("text").parse::<f64>();
+        let after = after.expect("a number");
+        assert!(after > 0.0 && after <= 4.5, "{after}");
+    }
+    assert!(refused >= 3, "{refused} refused");
+}
