Side: an engine that sends bytes without end is given up

Operators of other systems saw a machine run out of memory because a faulty server sent bytes that were no answer until its caller closed, and the requests of other clients end with it. The gateway bounds heads, events and bodies; the side process of our own interface did not: the state of an engine was collected whatever its length, and an event whose line never ends, or comments without an event, were kept and read on for ever.

Cause: readers without a bound in the client of engines. The state now has 1 MiB at most, and 256 KiB may arrive from one event to the next; beyond, the call or the stream fails like one whose connection is lost. The parser of events takes time with the square of an unfinished event, 8 s for 1 MiB in a debug build, hence the smaller limit there.

Bounded before, by reading: messages between entry and side (16 MiB), recorded answers (8 MiB), answers of the store and of peers, heads (64 KiB); answers of plain services are passed on with backpressure.

--- a/crates/snipespan_backend/src/model_engine.rs
+++ b/crates/snipespan_backend/src/model_engine.rs
@@ -6,7 +6,11 @@
 //! `[DONE]` event.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use eventsource_stream::Eventsource;
@@ -14,6 +18,7 @@
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use http_body_util::BodyStream;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -26,6 +31,7 @@
 use snipespan_core::side::event::EngineStreamId;
 
 use crate::error::BackendError;
+use crate::http::BodyError;
 use crate::http::HttpClient;
 use crate::http::RequestBody;
 use crate::http::classify_error;
@@ -43,6 +49,13 @@
 /// Header that an engine sets if it did not run the request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
+/// Maximum length of the state of an engine in bytes; 10,000 streams take less than half of it.
+const MAX_STATE_BYTES: usize = 1 << 20;
+
+/// Maximum number of bytes from one event of an answer to the next, comments included; an event
+/// contains a few tokens.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Data of the event that ends a stream of chunks.
 const DONE_DATA: &str = "[DONE]";
 
@@ -164,7 +177,8 @@
     /// [`BackendError`] if the engine returns no valid answer.
     pub async fn fetch_state(&self) -> Result<EngineState, BackendError> {
         let response = self.send_control_request(Method::GET, "/v1/engine/state").await?;
-        let body = response.into_body().collect().await.map_err(|e| connection_lost(&e))?;
+        let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
+        let body = body.map_err(|e| connection_lost(&e))?;
         serde_json::from_slice(&body.to_bytes()).map_err(|e| corrupt_answer(&e))
     }
 
@@ -192,6 +206,20 @@
     }
 }
 
+/// Counts the bytes that were received since the last complete event, and fails beyond
+/// [`MAX_EVENT_BYTES`].
+fn limit_event(
+    data: Result<Bytes, hyper::Error>,
+    unfinished: &AtomicUsize,
+) -> Result<Bytes, BodyError> {
+    let data = data?;
+    let before = unfinished.fetch_add(data.len(), Ordering::Relaxed);
+    match before > MAX_EVENT_BYTES {
+        true => Err(format!("over {MAX_EVENT_BYTES} bytes without a complete event").into()),
+        false => Ok(data),
+    }
+}
+
 type EventDataStream = Pin<Box<dyn Stream<Item = Result<CompactString, BackendError>> + Send>>;
 
 /// Streamed answer of an engine, validated chunk by chunk.
@@ -204,10 +232,18 @@
 
 impl EngineAnswer {
     fn new(stream_id: CompactString, offset: u64, body: Incoming) -> Self {
-        let frames = BodyStream::new(body)
-            .filter_map(|frame| async { frame.map(|frame| frame.into_data().ok()).transpose() });
-        let events = frames.eventsource().map(|event| match event {
-            Ok(event) => Ok(CompactString::from(event.data)),
+        let unfinished = Arc::new(AtomicUsize::new(0));
+        let received = Arc::clone(&unfinished);
+        let frames = BodyStream::new(body).filter_map(move |frame| {
+            let data = frame.map(|frame| frame.into_data().ok()).transpose();
+            let limited = data.map(|data| limit_event(data, &received));
+            std::future::ready(limited)
+        });
+        let events = frames.eventsource().map(move |event| match event {
+            Ok(event) => {
+                unfinished.store(0, Ordering::Relaxed);
+                Ok(CompactString::from(event.data))
+            }
             Err(e) => Err(BackendError::ConnectionLost { detail: format_compact!("{e}") }),
         });
         Self { stream_id, offset, finish_reason: None, events: Box::pin(events) }
@@ -310,7 +346,7 @@
     BackendError::Unreachable { detail: format_compact!("invalid HTTP request: {e}") }
 }
 
-fn connection_lost(e: &hyper::Error) -> BackendError {
+fn connection_lost(e: &impl std::fmt::Display) -> BackendError {
     BackendError::ConnectionLost { detail: format_compact!("{e}") }
 }
 
