--- a/crates/snipespan_core/src/gateway.rs
+++ b/crates/snipespan_core/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod effect;
 pub mod engine;
 pub mod event;
+pub mod message;
 pub mod serving;
 pub mod settings;
 pub mod systems;
--- a/crates/snipespan_core/src/gateway/effect.rs
+++ b/crates/snipespan_core/src/gateway/effect.rs
@@ -6,9 +6,9 @@
 use compact_str::CompactString;
 
 use crate::gateway::decision::Decision;
-use crate::gateway::event::MessageRoute;
-use crate::gateway::event::PeerMessage;
 use crate::gateway::event::StoreVersion;
+use crate::gateway::message::MessageRoute;
+use crate::gateway::message::PeerMessage;
 use crate::gateway::serving::ClientLimits;
 use crate::gateway::serving::ServingVersion;
 use crate::keys::BackendServerKey;
--- a/crates/snipespan_core/src/gateway/systems/named_limits.rs
+++ b/crates/snipespan_core/src/gateway/systems/named_limits.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use crate::gateway::event::Event;
-use crate::gateway::event::LimitReport;
-use crate::gateway::event::PeerUpdate;
 use crate::gateway::event::RequestRate;
+use crate::gateway::message::LimitReport;
+use crate::gateway::message::PeerUpdate;
 use crate::gateway::systems::shared_rates::LIMIT_WINDOW;
 use crate::gateway::systems::shared_rates::RateLimit;
 use crate::gateway::tables::backend_servers::Announced;
--- a/crates/snipespan_core/src/gateway/systems/notifications.rs
+++ b/crates/snipespan_core/src/gateway/systems/notifications.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use crate::gateway::effect::Effect;
-use crate::gateway::event::Hop;
-use crate::gateway::event::MessageRoute;
-use crate::gateway::event::PeerMessage;
-use crate::gateway::event::PeerUpdate;
-use crate::gateway::event::WorkChange;
-use crate::gateway::event::WorkReport;
+use crate::gateway::message::Hop;
+use crate::gateway::message::MessageRoute;
+use crate::gateway::message::PeerMessage;
+use crate::gateway::message::PeerUpdate;
+use crate::gateway::message::WorkChange;
+use crate::gateway::message::WorkReport;
 use crate::gateway::serving::ServingConfiguration;
 use crate::gateway::systems::evacuations;
 use crate::gateway::systems::feeds;
--- a/crates/snipespan_core/src/gateway/systems/serving_fetches.rs
+++ b/crates/snipespan_core/src/gateway/systems/serving_fetches.rs
@@ -48,20 +48,6 @@
 /// store that follows ends within the two seconds in which a change must be in force.
 const RELAY_TIME: Duration = Duration::from_millis(700);
 
-/// Progress of fetching a newer serving configuration.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ServingFetch {
-    /// Since when peers have had a newer version without one coming into force here; `None` if none
-    /// of them has.
-    newer_since: Option<Timestamp>,
-    /// The peer that is asked, and since when; `None` if none is.
-    in_progress: Option<(SocketAddr, Timestamp)>,
-    /// Time before which no fetch begins.
-    not_before: Timestamp,
-    /// Number of failures since the last configuration came into force.
-    failures: u32,
-}
-
 /// Begins a fetch if one is due; returns when the next one may begin.
 pub fn run(
     world: &mut World,
--- a/crates/snipespan_core/src/gateway/tables/peers.rs
+++ b/crates/snipespan_core/src/gateway/tables/peers.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use crate::gateway::event::FeedReport;
+use crate::gateway::message::FeedReport;
 use crate::gateway::serving::ServingVersion;
 use crate::keys::DataCentreKey;
 use crate::keys::PeerKey;
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -12,8 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::gateway::event::CrashReport;
-use crate::gateway::event::PromptPartReport;
+use crate::gateway::message::CrashReport;
+use crate::gateway::message::PromptPartReport;
 use crate::keys::RequestKey;
 use crate::keys::SuspectKey;
 use crate::table::Entity;
--- a/crates/snipespan_core/tests/gateway/cold_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/cold_fleet.rs
@@ -10,9 +10,9 @@
 use snipespan_core::gateway::event::Announcement;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
-use snipespan_core::gateway::event::PeerMessage;
 use snipespan_core::gateway::event::RequestRate;
 use snipespan_core::gateway::event::StoreVersion;
+use snipespan_core::gateway::message::PeerMessage;
 use snipespan_core::time::Timestamp;
 
 use crate::kit;
--- a/crates/snipespan_core/tests/gateway/cold_servers.rs
+++ b/crates/snipespan_core/tests/gateway/cold_servers.rs
@@ -9,8 +9,8 @@
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
 use snipespan_core::gateway::event::NotRunReason;
-use snipespan_core::gateway::event::PeerUpdate;
 use snipespan_core::gateway::event::ReservationAnswer;
+use snipespan_core::gateway::message::PeerUpdate;
 use snipespan_core::result_code::ResultCode;
 
 use crate::kit;
--- a/crates/snipespan_core/tests/gateway/crashing_part.rs
+++ b/crates/snipespan_core/tests/gateway/crashing_part.rs
@@ -18,7 +18,7 @@
 use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::Listing;
 use snipespan_core::gateway::event::NotRunReason;
-use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::message::PeerMessage;
 use snipespan_core::gateway::tables::prompt_parts::PromptPart;
 use snipespan_core::keys::CallerKey;
 use snipespan_core::keys::WorkKey;
--- a/crates/snipespan_core/tests/gateway/crest.rs
+++ b/crates/snipespan_core/tests/gateway/crest.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::message::PeerMessage;
 use snipespan_core::keys::WorkKey;
 use snipespan_core::time::Timestamp;
 
--- a/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
+++ b/crates/snipespan_core/tests/gateway/data_centre_fleet.rs
@@ -13,12 +13,12 @@
 use rand::rngs::SmallRng;
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
-use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::Listing;
-use snipespan_core::gateway::event::MessageRoute;
 use snipespan_core::gateway::event::NotRunReason;
-use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::message;
+use snipespan_core::gateway::message::MessageRoute;
+use snipespan_core::gateway::message::PeerMessage;
 use snipespan_core::gateway::serving::DataCentreDelay;
 use snipespan_core::gateway::tables::work::Work;
 use snipespan_core::gateway::tables::work::WorkOwner;
@@ -299,7 +299,7 @@
     fn handle_due(&mut self, due: Due) {
         match due {
             Due::Message { to, from, message, route } => {
-                self.step(to, event::received_events(from, *message, route));
+                self.step(to, message::received_events(from, *message, route));
             }
             Due::Event { gateway, work } => {
                 self.step(gateway, vec![Event::AttemptProgress { work }]);
--- a/crates/snipespan_core/tests/gateway/feeds.rs
+++ b/crates/snipespan_core/tests/gateway/feeds.rs
@@ -8,13 +8,13 @@
 use snipespan_core::gateway::effect::FeedMode;
 use snipespan_core::gateway::effect::FeedPlan;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::FeedReport;
 use snipespan_core::gateway::event::Listing;
 use snipespan_core::gateway::event::ListingChange;
 use snipespan_core::gateway::event::ListingsUpdate;
-use snipespan_core::gateway::event::PeerMessage;
-use snipespan_core::gateway::event::PeerUpdate;
 use snipespan_core::gateway::event::StoreVersion;
+use snipespan_core::gateway::message::FeedReport;
+use snipespan_core::gateway::message::PeerMessage;
+use snipespan_core::gateway::message::PeerUpdate;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::kit;
--- a/crates/snipespan_core/tests/gateway/long_bodies.rs
+++ b/crates/snipespan_core/tests/gateway/long_bodies.rs
@@ -4,8 +4,8 @@
 
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::PeerUpdate;
-use snipespan_core::gateway::event::WorkChange;
+use snipespan_core::gateway::message::PeerUpdate;
+use snipespan_core::gateway::message::WorkChange;
 use snipespan_core::gateway::tables::backend_servers::MAX_BODY_BYTES;
 use snipespan_core::gateway::tables::work::Phase;
 use snipespan_core::gateway::tables::work::WorkId;
--- a/crates/snipespan_core/tests/gateway/membership.rs
+++ b/crates/snipespan_core/tests/gateway/membership.rs
@@ -3,11 +3,11 @@
 use rstest::rstest;
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::FeedReport;
 use snipespan_core::gateway::event::Listing;
-use snipespan_core::gateway::event::PeerMessage;
-use snipespan_core::gateway::event::PeerUpdate;
 use snipespan_core::gateway::event::StoreVersion;
+use snipespan_core::gateway::message::FeedReport;
+use snipespan_core::gateway::message::PeerMessage;
+use snipespan_core::gateway::message::PeerUpdate;
 
 use crate::kit;
 use crate::kit::ENGINE;
--- a/crates/snipespan_core/tests/gateway/pauses.rs
+++ b/crates/snipespan_core/tests/gateway/pauses.rs
@@ -6,8 +6,8 @@
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::EvacuationSet;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::PeerUpdate;
 use snipespan_core::gateway::event::StoreVersion;
+use snipespan_core::gateway::message::PeerUpdate;
 use snipespan_core::result_code::ResultCode;
 
 use crate::kit;
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::PeerUpdate;
-use snipespan_core::gateway::event::WorkChange;
-use snipespan_core::gateway::event::WorkReport;
+use snipespan_core::gateway::message::PeerUpdate;
+use snipespan_core::gateway::message::WorkChange;
+use snipespan_core::gateway::message::WorkReport;
 use snipespan_core::gateway::tables::work::Phase;
 use snipespan_core::gateway::tables::work::Rank;
 use snipespan_core::gateway::tables::work::WorkDemand;
--- a/crates/snipespan_core/tests/gateway/relays.rs
+++ b/crates/snipespan_core/tests/gateway/relays.rs
@@ -4,10 +4,10 @@
 
 use rstest::rstest;
 use snipespan_core::gateway::effect::Effect;
-use snipespan_core::gateway::event;
-use snipespan_core::gateway::event::Hop;
-use snipespan_core::gateway::event::MessageRoute;
-use snipespan_core::gateway::event::PeerUpdate;
+use snipespan_core::gateway::message;
+use snipespan_core::gateway::message::Hop;
+use snipespan_core::gateway::message::MessageRoute;
+use snipespan_core::gateway::message::PeerUpdate;
 
 use crate::data_centre_fleet::FULL_RATE;
 use crate::data_centre_fleet::Fleet;
@@ -74,7 +74,7 @@
     let mut message = kit::peer_message(sequence, 0, PeerUpdate::Snapshot(Vec::new()));
     message.node = format!("gateway-{peer}").into();
     let route = Some(MessageRoute { data_centre: data_centre.into(), hop });
-    kit.step(event::received_events(kit::peer_address(peer), message, route));
+    kit.step(message::received_events(kit::peer_address(peer), message, route));
 }
 
 /// Guards against changes that a data centre misses for longer than a second after both relays fell
--- a/crates/snipespan_core/tests/gateway/serving_fetches.rs
+++ b/crates/snipespan_core/tests/gateway/serving_fetches.rs
@@ -9,7 +9,7 @@
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::effect::FeedMode;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::PeerUpdate;
+use snipespan_core::gateway::message::PeerUpdate;
 
 use crate::feeds::Group;
 use crate::kit;
--- a/crates/snipespan_core/tests/gateway/stalls.rs
+++ b/crates/snipespan_core/tests/gateway/stalls.rs
@@ -6,11 +6,11 @@
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::decision::RetryObstacle;
 use snipespan_core::gateway::effect::Effect;
-use snipespan_core::gateway::event::CrashReport;
 use snipespan_core::gateway::event::Event;
 use snipespan_core::gateway::event::NotRunReason;
-use snipespan_core::gateway::event::PeerUpdate;
-use snipespan_core::gateway::event::PromptPartReport;
+use snipespan_core::gateway::message::CrashReport;
+use snipespan_core::gateway::message::PeerUpdate;
+use snipespan_core::gateway::message::PromptPartReport;
 use snipespan_core::gateway::tables::prompt_parts::PromptPart;
 use snipespan_core::gateway::tables::retry_budgets::RetryUse;
 
--- a/crates/snipespand/src/gateway/byte_meters.rs
+++ b/crates/snipespand/src/gateway/byte_meters.rs
@@ -1,7 +1,7 @@
 //! Bytes that a gateway exchanges, by kind of traffic and by place of the other side.
 
 use derive_more::Display;
-use snipespan_core::gateway::event::PeerUpdate;
+use snipespan_core::gateway::message::PeerUpdate;
 use snipespan_core::gateway::world::World;
 use snipespan_platform_adapter::byte_meter::ByteMeter;
 
--- a/crates/snipespand/src/gateway/peers.rs
+++ b/crates/snipespand/src/gateway/peers.rs
@@ -12,10 +12,10 @@
 use axum::routing::get;
 use eyre::Result;
 use eyre::eyre;
-use snipespan_core::gateway::event;
 use snipespan_core::gateway::event::Event;
-use snipespan_core::gateway::event::MessageRoute;
-use snipespan_core::gateway::event::PeerMessage;
+use snipespan_core::gateway::message;
+use snipespan_core::gateway::message::MessageRoute;
+use snipespan_core::gateway::message::PeerMessage;
 use snipespan_core::gateway::world::World;
 use snipespan_settings::gateway::GatewayRole;
 use tokio::net::TcpListener;
@@ -129,7 +129,7 @@
         while let Some((length, from)) = receive_datagram(&datagrams, &mut buf) {
             match decode_datagram(&buf[..length]) {
                 Ok((message, route)) => {
-                    for event in event::received_events(from, message, route) {
+                    for event in message::received_events(from, message, route) {
                         if cx.control.send(Input::Event(event)).await.is_err() {
                             return;
                         }
--- a/crates/snipespand/tests/gateway/crashing_part.rs
+++ b/crates/snipespand/tests/gateway/crashing_part.rs
@@ -4,10 +4,10 @@
 use std::time::Instant;
 
 use hyper::Method;
-use snipespan_core::gateway::event::CrashReport;
-use snipespan_core::gateway::event::PeerMessage;
-use snipespan_core::gateway::event::PeerUpdate;
-use snipespan_core::gateway::event::PromptPartReport;
+use snipespan_core::gateway::message::CrashReport;
+use snipespan_core::gateway::message::PeerMessage;
+use snipespan_core::gateway::message::PeerUpdate;
+use snipespan_core::gateway::message::PromptPartReport;
 use snipespan_core::gateway::systems::notifications::PARTS_PER_MESSAGE;
 use snipespan_core::gateway::tables::prompt_parts::MAX_CRASHES;
 use snipespan_core::gateway::tables::prompt_parts::PromptPart;
