--- a/crates/snipespan_core/src/gateway/systems/named_limits.rs
+++ b/crates/snipespan_core/src/gateway/systems/named_limits.rs
@@ -1,6 +1,6 @@
 //! Applies the limits that backend servers name in their answers, and tells the other gateways.
 //!
-//! Load pattern: a backend server in need names the requests per second that it takes from all
+//! Load pattern: an overloaded backend server names the requests per second that it takes from all
 //! gateways together, often fewer than there are gateways. Each gateway learns it from an answer of
 //! its own, and most have none soon: without a message they would keep sending what the first one no
 //! longer does. `shared_rates.rs` apportions the limit.
@@ -22,7 +22,8 @@
 use crate::gateway::world::World;
 use crate::time::Timestamp;
 
-/// Bound on the requests to a backend server in a window, over what its limit allows in it.
+/// Bound on the requests to a backend server in a window, relative to what its limit allows in it; this
+/// and the slack are those of the users' rules.
 const BOUND_EXCESS: f64 = 1.5;
 
 /// Requests in a window beyond that.
