A late request is refused by when its client leaves, not at a share of that time

Callers saw: under overload a first request was refused once its predicted wait passed half of the time for which its client stays at a silent stream, though the client would have been there for the answer; one that an engine had refused before was sent whatever its wait, also when its client would have left before the first event. The refused were told to come back after up to 3 s, whatever the load.

Cause: MAX_LATE_WAIT_SHARE was a share of the client's patience, and it was applied to the first placement only; the rank that said so stayed with the request. Retry-After was a constant.

Now a request is refused if its first event is expected after its client leaves: by the protocol after two seconds, four latency goals or eight gap goals of silence, or at its deadline. Predicted waits err by about a third, as prediction.rs said before, so that much is added to the wait, not to the prompt's own prefill. Each placement asks the same. What may have run, or has been seen in part, is sent all the same: no refusal could promise that it has not run. Retry-After is the predicted wait, after which the work ahead is done. A client that is there after its abandon timeout counts as one that stays to its deadline.

Evidence: three tests in placing, each failed before: refused from 977 ms of 2 s on; told to return after 3,000 ms with 980 ms of work ahead; sent with 0.8 s of patience left and a longer wait everywhere. 315 tests of the gateway's decisions pass.

--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -66,6 +66,7 @@
     row.first_byte.get_or_insert(now);
     row.first_event.get_or_insert(now);
     row.last_event = now;
+    row.waits_since = now;
     row.stall_recheck_at = None;
     let has_no_helpers = row.helper_work.is_empty();
     let helpers = row.helper_work.clone();
--- a/crates/snipespan_core/src/gateway/systems/holding.rs
+++ b/crates/snipespan_core/src/gateway/systems/holding.rs
@@ -85,8 +85,7 @@
         return false;
     }
     let return_at = obstacle.until().unwrap_or(row.deadline);
-    let abandoned = row.last_event.after(row.abandon_timeout()).min(row.deadline);
-    if row.first_byte.is_some() && return_at < abandoned {
+    if row.first_byte.is_some() && return_at < row.abandoned_at(now) {
         return false;
     }
     let code = match row.runs {
--- a/crates/snipespan_core/src/gateway/systems/placing.rs
+++ b/crates/snipespan_core/src/gateway/systems/placing.rs
@@ -29,11 +29,6 @@
 /// Share of the latency goal up to which a predicted time to the first event counts as on time.
 const ON_TIME_GOAL_SHARE: f64 = 1.1;
 
-/// Share of a client's abandon timeout up to which a late request may be expected to wait at an
-/// engine; beyond it the client would disconnect before the first event and does better to retry
-/// after the peak.
-const MAX_LATE_WAIT_SHARE: f64 = 0.5;
-
 /// Pause before a deferred request is placed again; a small part of a long prefill.
 const DEFERRAL_PAUSE: Duration = Duration::from_millis(50);
 
@@ -77,14 +72,11 @@
         }
         return;
     }
-    leaving::decide(world, now, key, effects);
-    let choice = choose_backend_server(world, now, key);
-    let Some(row) = world.requests.get(key) else { return };
-    let single = choice.map(SendPlan::single);
-    let Some(plan) = helpers::plan_helpers(world, now, row, choice).or(single) else {
+    let Some(plan) = plan_request(world, now, key, Rank::OnTime, effects) else {
         holding::hold_request(world, now, key, effects);
         return;
     };
+    let Some(row) = world.requests.get(key) else { return };
     let is_on_time = is_on_time(now, row, &plan);
     if let Some(held_back) = deferral::assess(world, now, row, is_on_time) {
         hold_back(world, now, key, held_back, effects);
@@ -95,6 +87,22 @@
     }
 }
 
+/// Plans how a request is sent with `rank`: to one backend server, or with helpers if that loses
+/// less; `None` when no backend server has capacity.
+fn plan_request(
+    world: &mut World,
+    now: Timestamp,
+    key: RequestKey,
+    rank: Rank,
+    effects: &mut Vec<Effect>,
+) -> Option<SendPlan> {
+    world.requests.get_mut(key)?.rank = rank;
+    leaving::decide(world, now, key, effects);
+    let choice = choose_backend_server(world, now, key);
+    let row = world.requests.get(key)?;
+    helpers::plan_helpers(world, now, row, choice).or(choice.map(SendPlan::single))
+}
+
 /// Chooses the backend server with the least loss for a request that it serves alone.
 fn choose_backend_server(world: &mut World, now: Timestamp, key: RequestKey) -> Option<Choice> {
     let mut rng = world.rng.clone();
@@ -139,31 +147,28 @@
     }
     let expected = Duration::from_secs_f64(plan.choice.expected_first_event_ms / 1e3);
     let goal = row.latency_goal.mul_f64(ON_TIME_GOAL_SHARE);
-    row.rank == Rank::OnTime && now.since(row.arrived) + expected <= goal
+    now.since(row.arrived) + expected <= goal
 }
 
-/// Sends a late request behind those that are on time, or refuses it at its first try if the
-/// expected wait is so long that its client does better to retry after the peak.
+/// Sends a late request behind those that are on time. If its client would leave before the first
+/// event it is refused, with the time after which the work ahead of it is done; one that may have run
+/// is sent all the same, as its client could not send it again.
 fn send_late(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
-    let Some(row) = world.requests.get_mut(key) else { return };
-    let is_first_try = row.rank == Rank::OnTime && row.runs == 0;
-    row.rank = Rank::Late;
-    leaving::decide(world, now, key, effects);
-    let choice = choose_backend_server(world, now, key);
-    let (Some(row), Some(choice)) = (world.requests.get(key), choice) else {
+    let Some(plan) = plan_request(world, now, key, Rank::Late, effects) else {
         holding::hold_request(world, now, key, effects);
         return;
     };
-    // The prefill of the prompt itself does not get shorter after a peak, so it is not part of the
-    // wait.
-    let prefill_ms = prediction::demand_of(routing::engine_of(world, row), row).prefill_ms;
-    let wait =
-        Duration::from_secs_f64((choice.expected_first_event_ms - prefill_ms).max(0.0) / 1e3);
-    if is_first_try && wait > row.abandon_timeout().mul_f64(MAX_LATE_WAIT_SHARE) {
-        ending::end_with_code(world, now, key, ResultCode::CannotEndInTime, effects);
+    let Some(row) = world.requests.get(key) else { return };
+    let demand = plan.demand.unwrap_or_else(|| {
+        let engine = routing::engine_of(world, row);
+        prediction::demand_of(engine, row)
+    });
+    let expected_ms = plan.choice.expected_first_event_ms;
+    let latest = now.after(prediction::latest_first_event(expected_ms, demand.prefill_ms));
+    if row.is_untouched() && latest > row.abandoned_at(now) {
+        let wait = prediction::wait_of(expected_ms, demand.prefill_ms);
+        ending::end_with_wait(world, now, key, ResultCode::CannotEndInTime, wait, effects);
         return;
     }
-    let plan = helpers::plan_helpers(world, now, row, Some(choice));
-    let plan = plan.unwrap_or_else(|| SendPlan::single(choice));
     sending::send_request(world, now, key, &plan, effects);
 }
--- a/crates/snipespan_core/src/gateway/systems/prediction.rs
+++ b/crates/snipespan_core/src/gateway/systems/prediction.rs
@@ -42,6 +42,10 @@
 /// at one engine.
 pub const LINEAR_LOSS: f64 = 0.05;
 
+/// Error of the predicted wait at an engine, as a share of it: other gateways send there at the same
+/// time, and answers are longer or shorter than estimated.
+const WAIT_ERROR: f64 = 1.0 / 3.0;
+
 /// Minimum share of a prompt's prefill time that is expected to remain, also when it is overdue.
 const MIN_REMAINING_PREFILL_SHARE: f64 = 0.1;
 
@@ -134,6 +138,19 @@
     }
 }
 
+/// Returns the part of an expected time to the first event that a prompt waits for other work; its
+/// own prefill takes `prefill_ms` of it.
+pub fn wait_of(expected_first_event_ms: f64, prefill_ms: f64) -> Duration {
+    Duration::from_secs_f64((expected_first_event_ms - prefill_ms).max(0.0) / 1e3)
+}
+
+/// Returns the time to the first event if the prediction was too low by [`WAIT_ERROR`]. The prefill
+/// time of the prompt itself is known.
+pub fn latest_first_event(expected_first_event_ms: f64, prefill_ms: f64) -> Duration {
+    let error = wait_of(expected_first_event_ms, prefill_ms).mul_f64(WAIT_ERROR);
+    Duration::from_secs_f64(expected_first_event_ms / 1e3) + error
+}
+
 /// Returns the expected time to the first event, in ms, of a request whose wait and prefill
 /// together take `prefill_end_ms` at slowdown 1; the event comes at the end of an engine iteration.
 pub fn first_event_ms(engine: &EngineSpec, load: &EngineLoad, prefill_end_ms: f64) -> f64 {
--- a/crates/snipespan_core/src/gateway/systems/sending.rs
+++ b/crates/snipespan_core/src/gateway/systems/sending.rs
@@ -81,7 +81,7 @@
 /// nothing has run yet.
 fn is_cut_by_stop(world: &World, now: Timestamp, row: &Request, plan: &SendPlan) -> bool {
     let Some(cutoff) = process::cutoff(world) else { return false };
-    if row.runs > 0 || row.first_byte.is_some() {
+    if !row.is_untouched() {
         return false;
     }
     let target = world.backend_servers.rows.get(plan.choice.backend_server);
--- a/crates/snipespan_core/src/gateway/tables/requests.rs
+++ b/crates/snipespan_core/src/gateway/tables/requests.rs
@@ -131,7 +131,7 @@
     pub gap_goal: Duration,
     /// Priority of its account or route, 0 first.
     pub priority: u8,
-    /// Whether it can still be answered within its latency goal.
+    /// Whether it was expected to be answered within its latency goal when it was last placed.
     pub rank: Rank,
     /// Maximum number of backend servers on which it may run.
     pub max_attempts: u32,
@@ -162,6 +162,9 @@
     pub first_event: Option<Timestamp>,
     /// When its attempt was sent or an event of its stream was last reported.
     pub last_event: Timestamp,
+    /// When its client began to wait for what it gets next: at its arrival, or with the last event
+    /// that was forwarded to it.
+    pub waits_since: Timestamp,
     /// When its silent attempt is checked again; `None` while it is not silent for too long.
     pub stall_recheck_at: Option<Timestamp>,
     /// Whether it waits for the retry budget to allow its next attempt.
@@ -217,6 +220,7 @@
             longest_gap: Duration::ZERO,
             first_event: None,
             last_event: now,
+            waits_since: now,
             stall_recheck_at: None,
             awaits_retry: false,
             avoided: Vec::new(),
@@ -230,6 +234,23 @@
         abandon_timeout(self.latency_goal, self.gap_goal)
     }
 
+    /// Returns when its client gives it up if it gets nothing until then: at its deadline, or sooner
+    /// if its stream stays silent. A client that is still there after its abandon timeout waits for
+    /// longer than the protocol says.
+    pub fn abandoned_at(&self, now: Timestamp) -> Timestamp {
+        let silence_end = self.waits_since.after(self.abandon_timeout());
+        match self.kind.is_streaming() && now < silence_end {
+            true => self.deadline.min(silence_end),
+            false => self.deadline,
+        }
+    }
+
+    /// Returns whether a refusal can promise that nothing of it has run, so that its client may send
+    /// it again.
+    pub const fn is_untouched(&self) -> bool {
+        self.runs == 0 && self.first_byte.is_none()
+    }
+
     /// Returns the silence of its stream after which it is moved to another engine.
     pub fn stall_limit(&self) -> Duration {
         stall_limit(self.latency_goal, self.gap_goal)
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::event::NotRunReason;
 use snipespan_core::gateway::message::PeerUpdate;
 use snipespan_core::gateway::message::WorkChange;
 use snipespan_core::gateway::message::WorkReport;
@@ -116,6 +118,56 @@
     assert_eq!(kit.refused(), [ResultCode::CannotEndInTime]);
 }
 
+/// Returns the expected times to the first event of all open work, in ms.
+fn expected_first_events(kit: &Kit) -> Vec<f64> {
+    kit.world.work.iter().map(|(_, work)| work.expected_first_event_ms).collect()
+}
+
+/// Guards against refusing a client that would still be there: clients of this route wait 2 s for an
+/// event, and predicted waits err by a third.
+#[test]
+fn request_is_sent_while_its_client_is_expected_to_wait_for_it() {
+    let mut kit = Kit::new(1);
+    while kit.refused().is_empty() {
+        kit.arrive("/draft/1", 5_000);
+    }
+    let longest = expected_first_events(&kit).into_iter().fold(0.0, f64::max);
+    assert!((1_350.0..1_600.0).contains(&longest), "refused from {longest} ms on");
+}
+
+/// Guards against a `Retry-After` that does not follow from the load: once the work ahead of it now
+/// is done, a client finds room.
+#[test]
+fn refused_client_returns_when_the_work_ahead_of_it_is_done() {
+    let mut kit = Kit::new(1);
+    while kit.refused().is_empty() {
+        kit.arrive("/draft/1", 5_000);
+    }
+    let longest = expected_first_events(&kit).into_iter().fold(0.0, f64::max);
+    let retry_after = kit.effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { retry_after, .. } => *retry_after,
+        _ => None,
+    });
+    let retry_after_ms = retry_after.expect("a time to return").as_secs_f64() * 1e3;
+    assert!((longest - 100.0..longest + 100.0).contains(&retry_after_ms), "{retry_after_ms} ms");
+}
+
+/// Guards against sending a request again whose client leaves before the answer can come: it has
+/// waited for 1.2 of the 2 s, and no engine is expected to begin within the rest.
+#[test]
+fn request_that_an_engine_refused_is_refused_if_no_other_can_answer_in_time() {
+    let mut kit = Kit::new(2);
+    while kit.refused().is_empty() {
+        kit.arrive("/draft/1", 5_000);
+    }
+    let newest = kit.world.work.iter().max_by_key(|(_, work)| work.dispatched);
+    let (work, _) = newest.expect("open work");
+    kit.advance(Duration::from_millis(1_200));
+    kit.step(vec![Event::AttemptNotRun { work, reason: NotRunReason::Refused }]);
+    assert!(kit.sent().is_empty());
+    assert_eq!(kit.refused(), [ResultCode::CannotEndInTime]);
+}
+
 /// Guards against refusing a prompt whose own prefill exceeds its latency goal, though it would not
 /// wait. `send` fails unless the request is sent.
 #[test]
