A missed latency goal does not lower a request's priority

Callers saw: a request of the most urgent route (priority 0) that could not be on time any more was admitted by its engine after all others, also after those of the lowest priority, however soon its client would leave.

Cause: late requests had an urgency of their own at engines, 9, below all priorities; only on-time ones had that of their priority.

Now an engine admits by priority first. Within one priority, requests that are due within a latency goal go before those that are due later: due is the goal while it can be met, then the moment at which the client leaves. So one whose client leaves soon goes with those on time. Each of the first five priorities has two of the ten urgencies. The work that gateways report holds its urgency in place of a rank, and a predicted wait leaves out what an engine admits later, by priority too.

--- a/crates/snipespan_core/src/gateway/systems/placing.rs
+++ b/crates/snipespan_core/src/gateway/systems/placing.rs
@@ -20,7 +20,7 @@
 use crate::gateway::systems::sending::SendPlan;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::requests::Request;
-use crate::gateway::tables::work::Rank;
+use crate::gateway::tables::work::Due;
 use crate::gateway::world::World;
 use crate::keys::RequestKey;
 use crate::result_code::ResultCode;
@@ -72,7 +72,7 @@
         }
         return;
     }
-    let Some(plan) = plan_request(world, now, key, Rank::OnTime, effects) else {
+    let Some(plan) = plan_request(world, now, key, Due::Soon, effects) else {
         holding::hold_request(world, now, key, effects);
         return;
     };
@@ -87,16 +87,16 @@
     }
 }
 
-/// Plans how a request is sent with `rank`: to one backend server, or with helpers if that loses
+/// Plans how a request is sent that is due at `due`: to one backend server, or with helpers if that loses
 /// less; `None` when no backend server has capacity.
 fn plan_request(
     world: &mut World,
     now: Timestamp,
     key: RequestKey,
-    rank: Rank,
+    due: Due,
     effects: &mut Vec<Effect>,
 ) -> Option<SendPlan> {
-    world.requests.get_mut(key)?.rank = rank;
+    world.requests.get_mut(key)?.due = due;
     leaving::decide(world, now, key, effects);
     let choice = choose_backend_server(world, now, key);
     let row = world.requests.get(key)?;
@@ -150,11 +150,21 @@
     now.since(row.arrived) + expected <= goal
 }
 
-/// Sends a late request behind those that are on time. If its client would leave before the first
-/// event it is refused, with the time after which the work ahead of it is done; one that may have run
+/// Returns when a request is due whose latency goal is missed: when its client leaves.
+fn due_past_goal(now: Timestamp, row: &Request) -> Due {
+    match row.abandoned_at(now) <= now.after(row.latency_goal) {
+        true => Due::Soon,
+        false => Due::Later,
+    }
+}
+
+/// Sends a request that misses its latency goal, behind those of its priority that are due sooner. If
+/// its client would leave before the first event it is refused, with the time after which the work ahead of it is done; one that may have run
 /// is sent all the same, as its client could not send it again.
 fn send_late(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
-    let Some(plan) = plan_request(world, now, key, Rank::Late, effects) else {
+    let Some(row) = world.requests.get(key) else { return };
+    let due = due_past_goal(now, row);
+    let Some(plan) = plan_request(world, now, key, due, effects) else {
         holding::hold_request(world, now, key, effects);
         return;
     };
--- a/crates/snipespan_core/src/gateway/systems/prediction.rs
+++ b/crates/snipespan_core/src/gateway/systems/prediction.rs
@@ -10,7 +10,7 @@
 use crate::gateway::tables::requests::Request;
 use crate::gateway::tables::requests::stall_limit;
 use crate::gateway::tables::work::Phase;
-use crate::gateway::tables::work::Rank;
+use crate::gateway::tables::work::Urgency;
 use crate::gateway::tables::work::Work;
 use crate::gateway::tables::work::WorkDemand;
 use crate::gateway::world::World;
@@ -60,30 +60,37 @@
     pub context_tokens: u64,
     /// Remaining prefill time of all prompts, in ms at slowdown 1.
     pub backlog_ms: f64,
-    /// Number of pieces of late work in the prefill phase.
-    pub late: usize,
-    /// Remaining prefill time of the late work, in ms at slowdown 1.
-    pub late_backlog_ms: f64,
+    /// The work in the prefill phase, by its urgency.
+    pub prefilling: [PrefillLoad; Urgency::COUNT],
     /// Tokens of memory that all its work needs in the end.
     pub memory_tokens: u64,
     /// Factor by which the engine is slower than its figures.
     pub slowdown: f64,
 }
 
+/// Work in the prefill phase.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PrefillLoad {
+    /// Number of pieces.
+    pub count: usize,
+    /// Their remaining prefill time, in ms at slowdown 1.
+    pub backlog_ms: f64,
+}
+
 impl EngineLoad {
-    /// Returns the load that is served before a request of `rank`: late work that waits for a slot
-    /// is admitted after all work that is on time.
-    pub fn ahead_of(self, rank: Rank, slots: usize) -> Self {
-        let waiting_late = match rank {
-            Rank::OnTime => self.late.min(self.open.saturating_sub(slots)),
-            Rank::Late => 0,
-        };
-        if waiting_late == 0 {
+    /// Returns the load that is served before a request of `urgency`: less urgent work that waits for
+    /// a slot is admitted after it.
+    pub fn ahead_of(self, urgency: Urgency, slots: usize) -> Self {
+        let behind = &self.prefilling[usize::from(urgency.get()) + 1..];
+        let count: usize = behind.iter().map(|load| load.count).sum();
+        let waiting = count.min(self.open.saturating_sub(slots));
+        if waiting == 0 {
             return self;
         }
-        let share = waiting_late as f64 / self.late as f64;
-        let backlog_ms = (self.backlog_ms - self.late_backlog_ms * share).max(0.0);
-        Self { open: self.open - waiting_late, backlog_ms, ..self }
+        let behind_ms: f64 = behind.iter().map(|load| load.backlog_ms).sum();
+        let share = waiting as f64 / count as f64;
+        let backlog_ms = (self.backlog_ms - behind_ms * share).max(0.0);
+        Self { open: self.open - waiting, backlog_ms, ..self }
     }
 }
 
@@ -97,7 +104,7 @@
         latency_goal_ms: request.latency_goal.as_secs_f64() * 1e3,
         gap_goal_ms: request.gap_goal.as_secs_f64() * 1e3,
         value: 1.0 + request.prompt_tokens as f64 / VALUE_TOKENS,
-        rank: request.rank,
+        urgency: request.urgency(),
     }
 }
 
@@ -130,10 +137,11 @@
             let min_ms = work.demand.prefill_ms * MIN_REMAINING_PREFILL_SHARE;
             let remaining_ms = (work.demand.prefill_ms - done_ms).max(min_ms);
             load.backlog_ms += remaining_ms;
-            if work.demand.rank == Rank::Late {
-                load.late += 1;
-                load.late_backlog_ms += remaining_ms;
-            }
+            // A peer of another version may report an urgency that engines do not know.
+            let urgency = usize::from(work.demand.urgency.get()).min(Urgency::COUNT - 1);
+            let of_urgency = &mut load.prefilling[urgency];
+            of_urgency.count += 1;
+            of_urgency.backlog_ms += remaining_ms;
         }
     }
 }
--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -162,7 +162,7 @@
 ) -> Option<(f64, f64)> {
     let load = prediction::load_of(world, now, row);
     let slots = engine.slots.max(1) as usize;
-    let load = load.ahead_of(request.rank, slots);
+    let load = load.ahead_of(request.urgency(), slots);
     if load.open as f64 >= slots as f64 * (1.0 + QUEUE_PER_SLOT) {
         return None;
     }
--- a/crates/snipespan_core/src/gateway/systems/sending.rs
+++ b/crates/snipespan_core/src/gateway/systems/sending.rs
@@ -22,8 +22,8 @@
 use crate::gateway::tables::backend_servers::BackendServer;
 use crate::gateway::tables::memory_budget::MAX_SHORT_BODY;
 use crate::gateway::tables::requests::Request;
+use crate::gateway::tables::work::Due;
 use crate::gateway::tables::work::Phase;
-use crate::gateway::tables::work::Rank;
 use crate::gateway::tables::work::Work;
 use crate::gateway::tables::work::WorkDemand;
 use crate::gateway::tables::work::WorkOwner;
@@ -36,12 +36,6 @@
 use crate::result_code::ResultCode;
 use crate::time::Timestamp;
 
-/// Urgency at an engine of the least urgent requests that are on time; 0 is served first, 9 last.
-const LOWEST_ON_TIME_URGENCY: u8 = 8;
-
-/// Urgency at an engine of late requests.
-const LATE_URGENCY: u8 = 9;
-
 /// How a request is sent, with the work of its helpers.
 #[derive(Clone, Debug)]
 pub struct SendPlan {
@@ -151,7 +145,7 @@
         instance_hash: target.listing.instance_hash,
         deadline: row.deadline,
         account: row.account.clone(),
-        urgency: engine.map(|_| urgency(row)),
+        urgency: engine.map(|_| row.urgency().get()),
         helpers: plan.helpers.clone(),
     };
     let placed_decision = placed_decision(now, row, target, &plan.choice, left, version);
@@ -184,7 +178,7 @@
         send: row.sends,
         prompt_tokens: row.prompt_tokens,
         remaining: row.deadline.since(now),
-        is_late: row.rank == Rank::Late,
+        is_late: row.due == Due::Later,
         expected_first_event_ms: choice.expected_first_event_ms,
         open_work: target.work.len(),
         slowdown: target.slowdown(now),
@@ -221,11 +215,3 @@
     world.pending_changes.push(WorkChange::Started(report));
     Some(key)
 }
-
-/// Returns the urgency of a request at its engine, from 0 (served first) to 9.
-fn urgency(row: &Request) -> u8 {
-    match row.rank {
-        Rank::OnTime => row.priority.min(LOWEST_ON_TIME_URGENCY),
-        Rank::Late => LATE_URGENCY,
-    }
-}
--- a/crates/snipespan_core/src/gateway/systems/stalls.rs
+++ b/crates/snipespan_core/src/gateway/systems/stalls.rs
@@ -17,8 +17,8 @@
 use crate::gateway::systems::splitting;
 use crate::gateway::systems::splitting::KvPlacement;
 use crate::gateway::tables::requests::Request;
+use crate::gateway::tables::work::Due;
 use crate::gateway::tables::work::Phase;
-use crate::gateway::tables::work::Rank;
 use crate::gateway::tables::work::Work;
 use crate::gateway::world::World;
 use crate::keys::BackendServerKey;
@@ -161,8 +161,8 @@
 fn silence_limit(row: &Request, work: &Work) -> Duration {
     let stall_limit = row.stall_limit();
     match work.phase {
-        // An engine serves late work after all other work.
-        Phase::Prefill if work.demand.rank == Rank::Late => stall_limit,
+        // Work that arrives later may be admitted before it.
+        Phase::Prefill if row.due == Due::Later => stall_limit,
         Phase::Prefill => {
             let expected = Duration::from_secs_f64(work.expected_first_event_ms / 1e3);
             let slack = MIN_FIRST_EVENT_SLACK.max(row.latency_goal.mul_f64(SLACK_GOAL_SHARE));
--- a/crates/snipespan_core/src/gateway/tables/work.rs
+++ b/crates/snipespan_core/src/gateway/tables/work.rs
@@ -24,13 +24,35 @@
     Decode,
 }
 
-/// Order in which an engine admits work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Rank {
-    /// The work may still be answered within its latency goal.
-    OnTime,
-    /// The work cannot meet its latency goal, and waits for capacity that no work on time needs.
-    Late,
+/// When a request is due, in comparison with others of its priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// Within its latency goal: it can still be on time, or its client leaves that soon.
+    Soon,
+    /// Its latency goal is missed, and its client stays for longer than that of a request that
+    /// arrives now waits to be on time.
+    Later,
+}
+
+/// Order in which an engine admits work, lowest first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Urgency(u8);
+
+impl Urgency {
+    /// Number of urgencies that engines know.
+    pub const COUNT: usize = 10;
+
+    /// Returns the urgency of a request: by its priority, and within it by when it is due. The
+    /// lowest priorities share the last two urgencies.
+    pub fn new(priority: u8, due: Due) -> Self {
+        const PRIORITIES: u8 = Urgency::COUNT as u8 / 2;
+        Self(priority.min(PRIORITIES - 1) * 2 + u8::from(due == Due::Later))
+    }
+
+    /// Returns its number, from 0 to 9.
+    pub const fn get(self) -> u8 {
+        self.0
+    }
 }
 
 /// Who dispatched a piece of work.
@@ -60,7 +82,7 @@
     /// Value relative to other work; a request with an empty prompt has 1.
     pub value: f64,
     /// Order in which the engine admits it.
-    pub rank: Rank,
+    pub urgency: Urgency,
 }
 
 /// A piece of work at one backend server.
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -32,8 +32,9 @@
 use snipespan_core::gateway::serving::TrafficShare;
 use snipespan_core::gateway::settings::GatewaySettings;
 use snipespan_core::gateway::tables::prompt_parts::PromptPart;
+use snipespan_core::gateway::tables::work::Due;
 use snipespan_core::gateway::tables::work::Phase;
-use snipespan_core::gateway::tables::work::Rank;
+use snipespan_core::gateway::tables::work::Urgency;
 use snipespan_core::gateway::tables::work::WorkDemand;
 use snipespan_core::gateway::tables::work::WorkId;
 use snipespan_core::gateway::tick::tick;
@@ -381,7 +382,7 @@
         latency_goal_ms: 300.0,
         gap_goal_ms: 250.0,
         value: 1.4,
-        rank: Rank::OnTime,
+        urgency: Urgency::new(1, Due::Soon),
     };
     let instance_hash = listing(service, number).instance_hash;
     WorkReport { id: WorkId(id), instance_hash, demand, phase, age_ms: 0 }
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -2,13 +2,18 @@
 
 use rstest::rstest;
 use snipespan_core::gateway::effect::Effect;
+use snipespan_core::gateway::event::AnswerStage;
 use snipespan_core::gateway::event::Event;
+use snipespan_core::gateway::event::FailReason;
 use snipespan_core::gateway::event::NotRunReason;
 use snipespan_core::gateway::message::PeerUpdate;
 use snipespan_core::gateway::message::WorkChange;
 use snipespan_core::gateway::message::WorkReport;
+use snipespan_core::gateway::serving::Route;
+use snipespan_core::gateway::serving::RouteKind;
+use snipespan_core::gateway::tables::work::Due;
 use snipespan_core::gateway::tables::work::Phase;
-use snipespan_core::gateway::tables::work::Rank;
+use snipespan_core::gateway::tables::work::Urgency;
 use snipespan_core::gateway::tables::work::WorkDemand;
 use snipespan_core::gateway::tables::work::WorkId;
 use snipespan_core::result_code::ResultCode;
@@ -49,7 +54,7 @@
         latency_goal_ms: 300.0,
         gap_goal_ms: 1000.0,
         value: 11.0,
-        rank: Rank::OnTime,
+        urgency: Urgency::new(1, Due::Soon),
     };
     let instance_hash = kit::listing(ENGINE, 1).instance_hash;
     let report =
@@ -97,7 +102,8 @@
         refused += kit.refused().len();
     }
     assert!(refused > 0);
-    let late = kit.world.work.iter().filter(|(_, work)| work.demand.rank == Rank::Late).count();
+    let later = Urgency::new(1, Due::Later);
+    let late = kit.world.work.iter().filter(|(_, work)| work.demand.urgency == later).count();
     assert!(late > 0, "some wait behind those on time");
 }
 
@@ -118,6 +124,59 @@
     assert_eq!(kit.refused(), [ResultCode::CannotEndInTime]);
 }
 
+/// Returns a gateway before one engine, with a route of priority 0 beside that of priority 1.
+fn kit_with_priorities() -> Kit {
+    let mut kit = Kit::new(1);
+    let routes = [("/alarm/", 0), ("/draft/", 1)].map(|(prefix, priority)| Route {
+        priority,
+        ..kit::route(prefix, RouteKind::Streaming { is_resumable: true }, 0)
+    });
+    let serving = Box::new(kit::serving_with(2, routes.to_vec()));
+    kit.step(vec![Event::ServingReceived { serving, is_from_store: true }]);
+    kit
+}
+
+/// Guards against putting the most urgent route's late requests behind all others: a latency goal
+/// that was missed does not lower a request's priority.
+#[test]
+fn late_request_goes_before_those_of_lower_priority() {
+    let mut kit = kit_with_priorities();
+    let on_time = kit.send("/draft/1", 5_000).1.urgency;
+    let mut late = None;
+    while late.is_none() {
+        let (_, sent) = kit.send("/alarm/1", 5_000);
+        let is_late =
+            kit.world.work.get(sent.work).expect("open work").expected_first_event_ms > 400.0;
+        late = is_late.then_some(sent.urgency);
+    }
+    assert!(late < Some(on_time), "{late:?}, {on_time:?}");
+}
+
+/// Guards against putting a request behind others of its priority although its client leaves sooner
+/// than theirs are due: it has waited for 1.8 of the 2 s.
+#[test]
+fn request_whose_client_leaves_soon_goes_with_those_on_time() {
+    let mut kit = Kit::new(2);
+    let (_, first) = kit.send("/draft/1", 5_000);
+    kit.advance(Duration::from_millis(1_800));
+    let (reason, stage) = (FailReason::Broken, AnswerStage::Awaited);
+    kit.step(vec![Event::AttemptFailed { work: first.work, reason, stage }]);
+    assert_eq!(kit.sent_one().urgency, first.urgency);
+}
+
+/// Guards against predicting that an urgent request waits for work that its engine admits after it.
+#[test]
+fn waiting_work_of_lower_priority_does_not_delay_an_urgent_request() {
+    let mut kit = kit_with_priorities();
+    for _ in 0..22 {
+        kit.send("/draft/1", 5_000);
+    }
+    let before = kit.send("/draft/1", 5_000).1.work;
+    let urgent = kit.send("/alarm/1", 5_000).1.work;
+    let expected_ms = |work| kit.world.work.get(work).expect("open work").expected_first_event_ms;
+    assert!(expected_ms(urgent) * 2.0 < expected_ms(before));
+}
+
 /// Returns the expected times to the first event of all open work, in ms.
 fn expected_first_events(kit: &Kit) -> Vec<f64> {
     kit.world.work.iter().map(|(_, work)| work.expected_first_event_ms).collect()
