Each request counts the same in the choice of an engine, whatever its length

Callers saw: a long prompt was sent where it made the streams of several other clients pause beyond their goal, because it counted as up to tens of short requests: one of 30,000 tokens as 3.5.

Cause: VALUE_TOKENS and LATE_LOSS were read from sheets that price answers: 12,000 tokens as much as a request, a late answer a quarter.

Now the unit of a loss is one request that misses a goal of its route. The other losses were in shares of the old unit and are converted by 1/0.75, so that two short requests compare as before. Traffic between data centres is weighed by its mean bytes for a request, in place of for each unit of value; the work that gateways report no longer states a value. That a predicted time counts as late between 0.6 and 1.2 of the goal stays: it is the error of the prediction, as the comment now says.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -409,8 +409,7 @@
         service: CompactString,
         /// Whether they leave from now on.
         is_leaving: bool,
-        /// What the request that changed it gains by leaving, in values of a request with an empty
-        /// prompt.
+        /// What the request that changed it gains by leaving, in requests that miss a goal.
         gain: f64,
         /// What its bytes cost, in the same unit.
         cost: f64,
--- a/crates/snipespan_core/src/gateway/settings.rs
+++ b/crates/snipespan_core/src/gateway/settings.rs
@@ -34,7 +34,7 @@
     pub max_reservation_ttl: Duration,
     /// Maximum memory of the process in bytes; `None` without a limit. It is read at the start.
     pub memory_limit: Option<u64>,
-    /// What 1 MB between data centres costs, in values of a request with an empty prompt, at least
+    /// What 1 MB between data centres costs, in requests that miss their latency goal, at least
     /// 0; `None` if that is not known.
     pub remote_mb_cost: Option<f64>,
     /// Seed of the random number generator.
--- a/crates/snipespan_core/src/gateway/systems/leaving.rs
+++ b/crates/snipespan_core/src/gateway/systems/leaving.rs
@@ -28,10 +28,9 @@
 use crate::keys::WorkKey;
 use crate::time::Timestamp;
 
-/// Loss of sending to another data centre, in shares of the request's value, as traffic there is
-/// paid by the byte; used where no cost is set, and the minimum where one is, so that data centres
+/// Loss of sending to another data centre, as traffic there is paid by the byte; used where no cost is set, and the minimum where one is, so that data centres
 /// with equal load do not exchange requests.
-const REMOTE_LOSS: f64 = 0.002;
+const REMOTE_LOSS: f64 = 0.003;
 
 /// Factor on the cost from which a gain lets requests leave; they leave until the gain is below the
 /// cost. Predicted times change by about a tenth between two requests.
@@ -46,9 +45,8 @@
 /// is left for its own clients.
 const OFFERED_SHARE: f64 = 0.8;
 
-/// Loss of a request that its data centre has no capacity for, in shares of its value: it is held,
-/// and refused in the end.
-const NO_CAPACITY_LOSS: f64 = 1.0;
+/// Loss of a request that its data centre has no capacity for: it is held, and refused in the end.
+const NO_CAPACITY_LOSS: f64 = 1.3;
 
 /// Why a request left its data centre.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -94,8 +92,8 @@
 }
 
 impl Offer {
-    fn loss_of(&self, request: &Request) -> f64 {
-        self.loss.unwrap_or_else(|| NO_CAPACITY_LOSS * value_of(request))
+    fn loss(&self) -> f64 {
+        self.loss.unwrap_or(NO_CAPACITY_LOSS)
     }
 }
 
@@ -105,7 +103,7 @@
         let Event::AttemptBytes { work, bytes } = event else { continue };
         let Some(work) = world.work.get(*work) else { continue };
         let Some(row) = world.backend_servers.rows.get(work.backend_server) else { continue };
-        world.remote_shares.record_bytes(&row.listing.service, *bytes, work.demand.value);
+        world.remote_shares.record_bytes(&row.listing.service, *bytes);
     }
 }
 
@@ -129,18 +127,17 @@
 ) -> Destination {
     let Some(request) = world.requests.get(key) else { return Destination::Any };
     let service = request.service.clone();
-    let value = value_of(request);
-    let cost = cost_share(world, &service, mb_cost) * value;
+    let cost = leaving_cost(world, &service, mb_cost);
     let servers = availability::usable_backend_servers(world, now, request);
     let home_key = world.data_centres.find(&world.settings.data_centre);
     let home = home_key.and_then(|home| assess_offer(world, now, request, &servers, home));
-    let home_loss = home.as_ref().map(|home| home.loss_of(request));
+    let home_loss = home.as_ref().map(Offer::loss);
     // No gain can exceed the loss here, so the other data centres need not be assessed.
     let others = match home_loss.is_some_and(|loss| loss <= cost) {
         true => Vec::new(),
         false => other_offers(world, now, request, &servers, home_key),
     };
-    let losses: Vec<_> = others.iter().map(|offer| offer.loss_of(request)).collect();
+    let losses: Vec<_> = others.iter().map(Offer::loss).collect();
     apportion(world, now, &service, &others);
     let Some((home, home_loss)) = home.zip(home_loss) else {
         return leave_without_choice(world, now, &service, &others, &losses);
@@ -183,14 +180,10 @@
     })
 }
 
-/// Returns the cost of leaving, in shares of a request's value.
-fn cost_share(world: &World, service: &str, mb_cost: f64) -> f64 {
-    let mb_per_value = world.remote_shares.bytes_per_value(service) / 1e6;
-    (mb_per_value * mb_cost).max(REMOTE_LOSS)
-}
-
-fn value_of(request: &Request) -> f64 {
-    prediction::demand_of(None, request).value
+/// Returns the cost of leaving for a request of a service.
+fn leaving_cost(world: &World, service: &str, mb_cost: f64) -> f64 {
+    let mb_per_request = world.remote_shares.bytes_per_request(service) / 1e6;
+    (mb_per_request * mb_cost).max(REMOTE_LOSS)
 }
 
 fn other_offers(
@@ -245,7 +238,7 @@
             Some(engine) => {
                 let prefill_ms = engine.prefill_ms(request.prompt_tokens);
                 let first_event = FirstEvent { expected_ms: first_event_ms, prefill_ms };
-                prediction::late_loss(now, first_event, request) * value_of(request)
+                prediction::late_loss(now, first_event, request)
             }
             None => plain_caller_loss(world, row, request, loss),
         };
@@ -311,7 +304,7 @@
 #[derive(Clone, Copy, Debug)]
 struct LeavingChange {
     data_centre: DataCentreKey,
-    /// What it gains, and what its bytes cost, in values of a request with an empty prompt.
+    /// What it gains, and what its bytes cost, in requests that miss their goal.
     gain: f64,
     cost: f64,
 }
@@ -390,14 +383,13 @@
     }
 }
 
-/// Returns the loss of sending to the data centre of a backend server, in shares of the request's
-/// value.
+/// Returns the loss of sending to the data centre of a backend server.
 pub fn remote_loss(world: &World, row: &BackendServer) -> f64 {
     if row.listing.data_centre == world.settings.data_centre {
         return 0.0;
     }
     let mb_cost = world.settings.remote_mb_cost;
-    mb_cost.map_or(REMOTE_LOSS, |mb_cost| cost_share(world, &row.listing.service, mb_cost))
+    mb_cost.map_or(REMOTE_LOSS, |mb_cost| leaving_cost(world, &row.listing.service, mb_cost))
 }
 
 /// Returns the time in ms for which a message goes to the data centre of a backend server and back;
--- a/crates/snipespan_core/src/gateway/systems/prediction.rs
+++ b/crates/snipespan_core/src/gateway/systems/prediction.rs
@@ -1,7 +1,8 @@
 //! Predicts how long an engine takes for a request, and the loss that the request causes.
 //!
-//! A loss is value that requests are expected to lose by lateness and by other effects of a choice,
-//! in the unit of [`WorkDemand::value`] or, where stated, in shares of one request's value.
+//! The unit of a loss is one request that misses a promise of its route: its latency goal, or the gap
+//! goal of its stream. Each request counts the same, whatever its length: the configuration ranks them
+//! by priority only, which engines apply when they admit them.
 
 use std::time::Duration;
 
@@ -16,35 +17,26 @@
 use crate::gateway::world::World;
 use crate::time::Timestamp;
 
-/// Prompt tokens that are worth as much as a request itself; by the deployments' request sheets,
-/// which list kinds of requests with their value, a prompt of 133,000 tokens earns about eleven
-/// times as much as one of 5,000.
-const VALUE_TOKENS: f64 = 12_000.0;
-
-/// Share of a request's value that is lost when it is late, by the deployments' request sheets.
-pub const LATE_LOSS: f64 = 0.75;
-
-/// Shares of the latency goal between which a predicted time turns from on time to late; the
-/// prediction errs by about a third.
+/// Shares of the latency goal between which a predicted time turns from on time to late: the observed
+/// times are longer by a tenth in the mean, and differ by a third from that.
 const LATE_GOAL_SHARES: (f64, f64) = (0.6, 1.2);
 
 /// Share of a gap goal that an engine iteration may take; the rest is left for delivery to the
 /// client.
 const GAP_MARGIN: f64 = 0.85;
 
-/// Loss of a stream that is moved to another engine, in shares of its value: all of it, and the
-/// work of another prefill.
-const MOVED_STREAM_LOSS: f64 = 1.5;
+/// Loss of a stream that pauses for so long that it is moved to another engine: it misses its gap
+/// goal, and waits for its prefill again.
+const MOVED_STREAM_LOSS: f64 = 2.0;
 
-/// Loss of a request whose client leaves before its first event, in shares of its value. It is more
-/// than what one choice can cost other requests: whether a request is served at all is decided before.
+/// Loss of a request whose client leaves before its first event. It is more than what one choice can cost other requests: whether a request is served at all is decided before.
 const UNSERVED_LOSS: f64 = 1_000.0;
 
-/// Loss, in shares of a request's value, that grows in proportion to the predicted time, here for a
+/// Loss that grows in proportion to the predicted time, here for a
 /// time of one latency goal; for a plain service, in proportion to the slots in use, here for all.
 /// With it the faster of two safe choices wins, and requests that are late already do not pile up
 /// at one engine.
-pub const LINEAR_LOSS: f64 = 0.05;
+pub const LINEAR_LOSS: f64 = 0.07;
 
 /// Error of the predicted wait at an engine, as a share of it: other gateways send there at the same
 /// time, and answers are longer or shorter than estimated.
@@ -107,7 +99,6 @@
         prefill_ms,
         latency_goal_ms: request.latency_goal.as_secs_f64() * 1e3,
         gap_goal_ms: request.gap_goal.as_secs_f64() * 1e3,
-        value: 1.0 + request.prompt_tokens as f64 / VALUE_TOKENS,
         urgency: request.urgency(),
     }
 }
@@ -224,7 +215,7 @@
         let goal_ms = work.demand.gap_goal_ms;
         let limit_ms = stall_limit_ms(&work.demand);
         let lost = |gap_ms| gap_loss(gap_ms, goal_ms, limit_ms);
-        work.demand.value * (lost(after_ms) - lost(before_ms))
+        lost(after_ms) - lost(before_ms)
     });
     lost.sum()
 }
@@ -235,25 +226,23 @@
     stall_limit(goal(demand.latency_goal_ms), goal(demand.gap_goal_ms)).as_secs_f64() * 1e3
 }
 
-/// Returns the loss of a stream that pauses for `gap_ms` and is moved after `limit_ms`, in shares
-/// of its value.
+/// Returns the loss of a stream that pauses for `gap_ms` and is moved after `limit_ms`.
 fn gap_loss(gap_ms: f64, goal_ms: f64, limit_ms: f64) -> f64 {
     if goal_ms <= 0.0 || gap_ms <= goal_ms * GAP_MARGIN {
         return 0.0;
     }
     match gap_ms <= limit_ms {
-        true => LATE_LOSS,
+        true => 1.0,
         false => MOVED_STREAM_LOSS,
     }
 }
 
-/// Returns the loss due to the expected time to the first event of a request that is sent at `now`, in
-/// shares of its value.
+/// Returns the loss due to the predicted time to the first event of a request that is sent at `now`.
 pub fn late_loss(now: Timestamp, first_event: FirstEvent, request: &Request) -> f64 {
     let is_unserved = now.after(first_event.latest()) > request.abandoned_at(now);
     let unserved = if is_unserved { UNSERVED_LOSS } else { 0.0 };
     let goal_ms = (request.latency_goal.as_secs_f64() * 1e3).max(1.0);
     let share = first_event.expected_ms / goal_ms;
     let late = (share - LATE_GOAL_SHARES.0) / (LATE_GOAL_SHARES.1 - LATE_GOAL_SHARES.0);
-    LATE_LOSS * late.clamp(0.0, 1.0) + LINEAR_LOSS * share + unserved
+    late.clamp(0.0, 1.0) + LINEAR_LOSS * share + unserved
 }
--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -19,19 +19,19 @@
 use crate::keys::BackendServerKey;
 use crate::time::Timestamp;
 
-/// Loss of sending a short prompt to an engine without other work, in shares of its value; falls to
-/// zero at `PACKED_SHARE` of the slots in use. It gathers streams at few engines and leaves the
-/// others to long prompts, whose prefill would make the streams pause.
-const IDLE_ENGINE_LOSS: f64 = 0.15;
+/// Loss of sending a short prompt to an engine without other work; falls to zero at `PACKED_SHARE` of
+/// the slots in use. It gathers streams at few engines and leaves the others to long prompts, whose
+/// prefill would make the streams pause.
+const IDLE_ENGINE_LOSS: f64 = 0.2;
 
 /// Share of an engine's slots up to which short prompts are gathered there. The rest is left for
 /// requests that other gateways send to the same engine at the same time.
 const PACKED_SHARE: f64 = 0.8;
 
-/// Loss of sending a short prompt to an engine with `PACKED_SHARE` of its slots in use, in shares
-/// of its value; twice that with all in use. As much as the loss at an idle engine, so that the
+/// Loss of sending a short prompt to an engine with `PACKED_SHARE` of its slots in use; twice that with
+/// all in use. As much as the loss at an idle engine, so that the
 /// next engine is used before slots run out.
-const CROWDED_ENGINE_LOSS: f64 = 0.15;
+const CROWDED_ENGINE_LOSS: f64 = 0.2;
 
 /// Maximum number of backend servers among which one request chooses, drawn at random. Hundreds of
 /// gateways that all see the same best engine would otherwise send to it at the same time.
@@ -173,18 +173,17 @@
         prediction::first_event_ms(engine, &load, wait_ms + load.backlog_ms + demand.prefill_ms)
             + leaving::round_trip_ms(world, row);
     let first_event = FirstEvent { expected_ms: first_event_ms, prefill_ms: demand.prefill_ms };
-    let own = prediction::late_loss(now, first_event, request) * demand.value;
+    let own = prediction::late_loss(now, first_event, request);
     let interference = prediction::interference_loss(world, row, engine, &load, demand.prefill_ms);
     let packing = match demand.prefill_ms < SHORT_PREFILL_MS {
-        true => packing_loss(load.open as f64 / slots as f64) * demand.value,
+        true => packing_loss(load.open as f64 / slots as f64),
         false => 0.0,
     };
-    let remote = remote_loss(world, row) * demand.value;
+    let remote = remote_loss(world, row);
     Some((own + interference + packing + remote, first_event_ms))
 }
 
-/// Returns the loss of sending a short prompt to an engine by the share of its slots in use, in
-/// shares of the request's value.
+/// Returns the loss of sending a short prompt to an engine by the share of its slots in use.
 fn packing_loss(used: f64) -> f64 {
     match used < PACKED_SHARE {
         true => IDLE_ENGINE_LOSS * (1.0 - used / PACKED_SHARE),
@@ -192,8 +191,7 @@
     }
 }
 
-/// Returns the loss of sending to the data centre of a backend server, in shares of the request's
-/// value.
+/// Returns the loss of sending to the data centre of a backend server.
 fn remote_loss(world: &World, row: &BackendServer) -> f64 {
     leaving::remote_loss(world, row)
 }
--- a/crates/snipespan_core/src/gateway/tables/remote_shares.rs
+++ b/crates/snipespan_core/src/gateway/tables/remote_shares.rs
@@ -18,12 +18,11 @@
 pub const MAX_REMOTE_SHARES: usize = 1024;
 
 /// Maximum number of services whose bytes are measured; others count with
-/// [`INITIAL_BYTES_PER_VALUE`].
+/// [`INITIAL_BYTES_PER_REQUEST`].
 const MAX_MEASURED_SERVICES: usize = 64;
 
-/// Bytes of a request and its answer, for each unit of its value, until some were measured: bodies
-/// have 1 to 31 kB by the deployments' sheets, most of them a few.
-const INITIAL_BYTES_PER_VALUE: f64 = 8_000.0;
+/// Bytes of a request and its answer until some were measured; most prompts are short.
+const INITIAL_BYTES_PER_REQUEST: f64 = 8_000.0;
 
 /// Weight of the newest measurement in the mean of the bytes; single answers vary by a factor of
 /// ten.
@@ -100,13 +99,13 @@
 pub struct RemoteShares {
     /// Rows of the table; none is removed.
     pub rows: Table<RemoteShare>,
-    /// Mean bytes of a request and its answer for each unit of its value, by service.
-    bytes_per_value: Vec<(CompactString, f64)>,
+    /// Mean bytes of a request and its answer, by service.
+    bytes_per_request: Vec<(CompactString, f64)>,
 }
 
 impl Default for RemoteShares {
     fn default() -> Self {
-        Self { rows: Table::new(MAX_REMOTE_SHARES), bytes_per_value: Vec::new() }
+        Self { rows: Table::new(MAX_REMOTE_SHARES), bytes_per_request: Vec::new() }
     }
 }
 
@@ -142,20 +141,20 @@
         })
     }
 
-    /// Records the bytes that a request of a service and its answer took, for a request of `value`.
-    pub fn record_bytes(&mut self, service: &str, bytes: u64, value: f64) {
-        let measured = bytes as f64 / value.max(1.0);
-        let is_full = self.bytes_per_value.len() >= MAX_MEASURED_SERVICES;
-        match self.bytes_per_value.iter_mut().find(|(known, _)| known == service) {
+    /// Records the bytes that a request of a service and its answer took.
+    pub fn record_bytes(&mut self, service: &str, bytes: u64) {
+        let measured = bytes as f64;
+        let is_full = self.bytes_per_request.len() >= MAX_MEASURED_SERVICES;
+        match self.bytes_per_request.iter_mut().find(|(known, _)| known == service) {
             Some((_, mean)) => *mean += BYTES_WEIGHT * (measured - *mean),
             None if is_full => {}
-            None => self.bytes_per_value.push((service.into(), measured)),
+            None => self.bytes_per_request.push((service.into(), measured)),
         }
     }
 
-    /// Returns the mean bytes of a request of a service and its answer for each unit of its value.
-    pub fn bytes_per_value(&self, service: &str) -> f64 {
-        let known = self.bytes_per_value.iter().find(|(known, _)| known == service);
-        known.map_or(INITIAL_BYTES_PER_VALUE, |(_, mean)| *mean)
+    /// Returns the mean bytes of a request of a service and its answer.
+    pub fn bytes_per_request(&self, service: &str) -> f64 {
+        let known = self.bytes_per_request.iter().find(|(known, _)| known == service);
+        known.map_or(INITIAL_BYTES_PER_REQUEST, |(_, mean)| *mean)
     }
 }
--- a/crates/snipespan_core/src/gateway/tables/work.rs
+++ b/crates/snipespan_core/src/gateway/tables/work.rs
@@ -79,8 +79,6 @@
     pub latency_goal_ms: f64,
     /// Maximum pause between events that counts as on time, in ms; 0 without a goal.
     pub gap_goal_ms: f64,
-    /// Value relative to other work; a request with an empty prompt has 1.
-    pub value: f64,
     /// Order in which the engine admits it.
     pub urgency: Urgency,
 }
--- a/crates/snipespan_core/tests/gateway/kit.rs
+++ b/crates/snipespan_core/tests/gateway/kit.rs
@@ -381,7 +381,6 @@
         prefill_ms: 30.0,
         latency_goal_ms: 300.0,
         gap_goal_ms: 250.0,
-        value: 1.4,
         urgency: Urgency::new(1, Due::Soon),
     };
     let instance_hash = listing(service, number).instance_hash;
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -53,7 +53,6 @@
         prefill_ms: ENGINE_SPEC.prefill_ms(130_000),
         latency_goal_ms: 300.0,
         gap_goal_ms: 1000.0,
-        value: 11.0,
         urgency: Urgency::new(1, Due::Soon),
     };
     let instance_hash = kit::listing(ENGINE, 1).instance_hash;
@@ -259,6 +258,23 @@
     assert_eq!(kit.world.work.len(), 1, "helpers are done with the first event");
 }
 
+/// Guards against counting a long prompt as many short ones: beside one idle engine that decodes a
+/// stream, and one that prefills for 250 ms, being late itself costs less than being a little sooner and
+/// making the stream of another client pause.
+#[test]
+fn long_prompt_counts_as_one_request() {
+    let mut kit = Kit::new(2);
+    kit::hold_work(&mut kit, ENGINE, 1, 1);
+    let report = kit::work_report(2, ENGINE, 2, Phase::Prefill);
+    let demand = WorkDemand { prefill_ms: 250.0, ..report.demand };
+    let started = WorkChange::Started(WorkReport { demand, ..report });
+    let sequence = kit.now.as_micros() + 1;
+    let message = kit::peer_message(sequence, 1, PeerUpdate::Changes(vec![started]));
+    kit.step(vec![Event::PeerMessageReceived { from: kit::peer_address(2), message }]);
+    let (_, sent) = kit.send("/draft/1", 30_000);
+    assert_eq!(sent.address, kit::listing(ENGINE, 2).address);
+}
+
 /// Guards against streams that spread over all engines, so that each long prompt makes streams
 /// pause.
 #[test]
