A prompt is held back only if it would make others late, and not into the peak

They waited for others until their goal was nearly over, though their own prefill delays nobody by much. Long prompts whose goal the load did not allow any more were sent into it.

Cause: all prompts of over 200 ms of prefill were held back, a constant without a relation to what they do to others; and the goal counted as reachable if idle engines could meet it, not those that there are.

Now a prompt is held back if its prefill on the usual number of engines is longer than the shortest goal of the service: only such a prompt makes a request of that route late by itself. It is due at its goal while the load lets it meet that, then when its client leaves.

Evidence: prompt_that_makes_no_other_late_is_not_deferred (middle length) and prompt_that_is_late_waits_for_the_end_of_the_peak failed before and pass.

--- a/crates/snipespan_core/src/gateway/systems/deferral.rs
+++ b/crates/snipespan_core/src/gateway/systems/deferral.rs
@@ -2,9 +2,10 @@
 //! time go first.
 //!
 //! Load pattern: long prompts arrive for some seconds faster than the engines prefill them, and each
-//! of them makes short prompts that arrive meanwhile wait. A long prompt that is not due yet waits
-//! until the backlog is small again. Once waiting longer would make it miss what it is due for, it
-//! is sent: first its latency goal, and if that cannot be met, the time at which its client leaves.
+//! of them makes short prompts that arrive meanwhile wait. A prompt whose prefill alone would make a
+//! request of the route with the shortest goal late waits until the backlog is small again, while it
+//! has the time. Once waiting longer would make it miss what it is due for, it is sent: first its
+//! latency goal, and if the load no longer allows that, the time at which its client leaves.
 
 use std::time::Duration;
 
@@ -19,10 +20,6 @@
 use crate::keys::BackendServerKey;
 use crate::time::Timestamp;
 
-/// Prefill time in ms below which prompts are never held back: they wait for a slot rather than for
-/// their prefill.
-const MIN_HELD_PREFILL_MS: f64 = 200.0;
-
 /// Engines that usually share the prefill of a prompt, as interference keeps most splits small.
 const USUAL_SPLIT: usize = 4;
 
@@ -47,17 +44,18 @@
 /// Returns whether a request is held back at `now`, and why; `None` if it is placed.
 pub fn assess(world: &World, now: Timestamp, row: &Request) -> Option<HoldBack> {
     let engine = routing::engine_of(world, row)?;
+    let limit = backlog_limit(world, row);
     // A stopping gateway has no time to wait for a smaller backlog, and a client that has a part of
     // its answer waits for the next event already.
     let cannot_wait = row.first_byte.is_some() || world.stop.requested.is_some();
-    if engine.prefill_ms(row.prompt_tokens) < MIN_HELD_PREFILL_MS || cannot_wait {
+    if cannot_wait || split_time(engine, row, USUAL_SPLIT) <= limit {
         return None;
     }
     let servers = availability::usable_backend_servers(world, now, row);
     let backlogs = backlogs_ms(world, now, &servers);
     let engines = backlogs.len();
     let backlog_ms = backlogs.iter().sum::<f64>() / engines.max(1) as f64;
-    let limit_ms = backlog_limit_ms(world, row);
+    let limit_ms = limit.as_secs_f64() * 1e3;
     if backlog_ms <= limit_ms {
         return None;
     }
@@ -68,44 +66,41 @@
     if row.is_untouched() && start > last_start(now, row, engine, split) {
         return Some(HoldBack::GiveUp(overload));
     }
-    let prefill = split_time(engine, row, engines, USUAL_SPLIT);
+    let prefill = split_time(engine, row, split.min(USUAL_SPLIT));
     // Its engines are not chosen yet, so that its prefill may take longer than on idle ones.
     let expected_ms = backlog_ms + prefill.as_secs_f64() * 1e3;
     let first_event = FirstEvent { expected_ms, prefill_ms: 0.0 };
-    let due = due_at(now, row, engine, engines);
-    (now.after(first_event.latest()) < due).then_some(HoldBack::Defer(overload))
+    (now.after(first_event.latest()) < due_at(now, row, first_event))
+        .then_some(HoldBack::Defer(overload))
 }
 
-/// Returns the mean prefill backlog, in ms, from which a request of the route with the shortest
-/// latency goal would be late at most engines of the service.
-fn backlog_limit_ms(world: &World, row: &Request) -> f64 {
+/// Returns the shortest latency goal of the routes to a request's service. Engines whose backlog is
+/// longer make each new request of that route late, and so does a prompt whose prefill is longer.
+fn backlog_limit(world: &World, row: &Request) -> Duration {
     let serving = world.serving.as_ref();
     let shortest = serving.and_then(|serving| serving.shortest_latency_goal(&row.service));
-    shortest.unwrap_or(row.latency_goal).as_secs_f64() * 1e3
+    shortest.unwrap_or(row.latency_goal)
 }
 
-/// Returns when a request that waits is due: at its latency goal if idle engines could still meet
-/// it, otherwise when its client leaves.
-fn due_at(now: Timestamp, row: &Request, engine: &EngineSpec, engines: usize) -> Timestamp {
+/// Returns when a request that waits is due: at its latency goal while it is expected to meet that,
+/// then when its client leaves.
+fn due_at(now: Timestamp, row: &Request, first_event: FirstEvent) -> Timestamp {
     let goal = row.arrived.after(row.latency_goal);
-    let fastest = split_time(engine, row, engines, splitting::MAX_ENGINES);
-    match now.after(fastest) <= goal {
+    match now.after(first_event.expected()) <= goal {
         true => goal,
         false => row.abandoned_at(now),
     }
 }
 
-/// Returns the time to prefill a prompt on up to `split` idle engines of `engines`.
-fn split_time(engine: &EngineSpec, row: &Request, engines: usize, split: usize) -> Duration {
-    let split = splitting::max_split(engines).min(split);
+/// Returns the time to prefill a prompt on `split` idle engines.
+fn split_time(engine: &EngineSpec, row: &Request, split: usize) -> Duration {
     Duration::from_secs_f64(engine.prefill_ms_on(row.prompt_tokens, split) / 1e3)
 }
 
 /// Returns the latest time at which the prefill of a request may begin on `split` engines so that it
 /// ends in time, and its first event comes before the client of its stream leaves.
 fn last_start(now: Timestamp, row: &Request, engine: &EngineSpec, split: usize) -> Timestamp {
-    let prefill_ms = engine.prefill_ms_on(row.prompt_tokens, split);
-    let prefill = Duration::from_secs_f64(prefill_ms / 1e3);
+    let prefill = split_time(engine, row, split);
     let decode_ms = engine.decode_ms(row.output_tokens, 1, row.prompt_tokens / split as u64);
     let decode = Duration::from_secs_f64(decode_ms / 1e3);
     row.deadline.before(prefill + decode).min(row.abandoned_at(now).before(prefill))
--- a/crates/snipespan_core/tests/gateway/deferral.rs
+++ b/crates/snipespan_core/tests/gateway/deferral.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use rstest::rstest;
 use snipespan_core::gateway::decision::Decision;
 use snipespan_core::gateway::effect::Effect;
 use snipespan_core::gateway::event::Event;
@@ -78,11 +79,15 @@
     assert!(reserves(&kit) > 0);
 }
 
-#[test]
-fn short_prompt_is_never_deferred() {
+/// Guards against making a prompt late by holding it back for others, though it would hardly delay
+/// them: the shortest goal is 300 ms, and prefill takes 30 ms, or 110 ms on each of four engines.
+#[rstest]
+#[case::short("/draft/1", 5_000)]
+#[case::of_middle_length("/long/1", 45_000)]
+fn prompt_that_makes_no_other_late_is_not_deferred(#[case] path: &str, #[case] tokens: u64) {
     let mut kit = Kit::new(8);
-    add_backlog(&mut kit, 16);
-    kit.arrive("/draft/1", 5_000);
+    set_peer_backlog(&mut kit, 1_200.0);
+    kit.arrive(path, tokens);
     assert!(!is_deferred(&kit));
 }
 
@@ -211,6 +216,26 @@
     assert_eq!(held_back_for(20_000), held_back_for(220_000));
 }
 
+/// Guards against sending a prompt that is late already into the peak that made it late: its client
+/// stays for 10 s, and the peak ends after 4 s.
+#[test]
+fn prompt_that_is_late_waits_for_the_end_of_the_peak() {
+    let mut kit = Kit::new(8);
+    let arrived = kit.now;
+    let is_sent = |kit: &Kit| kit.world.requests.iter().any(|(_, row)| row.work.is_some());
+    set_peer_backlog(&mut kit, 2_600.0);
+    kit.arrive("/long/1", 150_000);
+    assert!(is_deferred(&kit));
+    while kit.now < arrived.after(Duration::from_secs(4)) {
+        kit.run_until(kit.now.after(Duration::from_millis(50)));
+        assert!(!is_sent(&kit), "sent after {:?}", kit.now.since(arrived));
+        set_peer_backlog(&mut kit, 2_600.0);
+    }
+    set_peer_backlog(&mut kit, 250.0);
+    kit.run_until(kit.now.after(Duration::from_millis(100)));
+    assert!(is_sent(&kit));
+}
+
 /// Guards against a prompt that waits behind a moderate backlog until it is late.
 #[test]
 fn prompt_is_sent_while_it_can_be_on_time() {
