--- a/crates/snipespan_core/tests/gateway/deferral.rs
+++ b/crates/snipespan_core/tests/gateway/deferral.rs
@@ -231,6 +231,7 @@
         assert!(!is_sent(&kit), "sent after {:?}", kit.now.since(arrived));
         set_peer_backlog(&mut kit, 2_600.0);
     }
+    kit.advance(Duration::from_millis(1));
     set_peer_backlog(&mut kit, 250.0);
     kit.run_until(kit.now.after(Duration::from_millis(100)));
     assert!(is_sent(&kit));
