Engines admit in the order of arrival within a priority, late requests too

A request that was expected to miss its goal, also by little, was put behind all that could meet it, at an engine that went on admitting new ones.

Cause: an order by whether an answer can still be on time suits a count of late answers, not the callers who wait: an engine doesn't reorder what it was given, so whoever was put behind stays there, and the predicted wait, by which it had been accepted, holds only if nobody overtakes.

Now the urgency at an engine is the priority and nothing else.

Evidence: placing::late_request_is_not_overtaken_within_its_priority failed before. Of the tests of the former order, request_whose_client_leaves_soon_goes_with_those_on_time is part of it, request_is_on_time_up_to_its_goal_only has no subject any more, and late_requests_are_served_under_overload_until_clients_would_leave takes the place of the one that counted ranks: it bounds the expected times from both sides. 323 tests pass.

--- a/crates/snipespan_core/src/gateway/systems/placing.rs
+++ b/crates/snipespan_core/src/gateway/systems/placing.rs
@@ -21,7 +21,6 @@
 use crate::gateway::systems::sending::SendPlan;
 use crate::gateway::systems::spans;
 use crate::gateway::tables::requests::Request;
-use crate::gateway::tables::work::Due;
 use crate::gateway::world::World;
 use crate::keys::RequestKey;
 use crate::result_code::ResultCode;
@@ -68,27 +67,28 @@
         spans::begin_span(world, now, key, effects);
         return;
     }
-    let Some(plan) = plan_request(world, now, key, Due::Soon, effects) else {
+    let Some(plan) = plan_request(world, now, key, effects) else {
         holding::hold_request(world, now, key, effects);
         return;
     };
     let Some(row) = world.requests.get(key) else { return };
-    match is_on_time(now, row, &plan) {
-        true => sending::send_request(world, now, key, &plan, effects),
-        false => send_late(world, now, key, effects),
+    let first_event = first_event_of(world, row, &plan);
+    let is_refused = first_event.is_some_and(|first_event| {
+        holding::refuse_if_too_late(world, now, key, first_event, effects)
+    });
+    if !is_refused {
+        sending::send_request(world, now, key, &plan, effects);
     }
 }
 
-/// Plans how a request is sent that is due at `due`: to one backend server, or with helpers if that loses
-/// less; `None` when no backend server has capacity.
+/// Plans how a request is sent: to one backend server, or with helpers if that loses less; `None` when
+/// no backend server has capacity.
 fn plan_request(
     world: &mut World,
     now: Timestamp,
     key: RequestKey,
-    due: Due,
     effects: &mut Vec<Effect>,
 ) -> Option<SendPlan> {
-    world.requests.get_mut(key)?.due = due;
     leaving::decide(world, now, key, effects);
     let choice = choose_backend_server(world, now, key);
     let row = world.requests.get(key)?;
@@ -132,41 +132,11 @@
     }
 }
 
-/// Returns whether a request is sent as on time: it is expected to meet its latency goal, its
-/// answer is not a stream, or it resumes a stream that its client has seen a part of.
-fn is_on_time(now: Timestamp, row: &Request, plan: &SendPlan) -> bool {
-    if !row.kind.is_streaming() || row.first_byte.is_some() {
-        return true;
-    }
-    let expected = Duration::from_secs_f64(plan.choice.expected_first_event_ms / 1e3);
-    now.since(row.arrived) + expected <= row.latency_goal
-}
-
-/// Returns when a request is due whose latency goal is missed: when its client leaves.
-fn due_past_goal(now: Timestamp, row: &Request) -> Due {
-    match row.abandoned_at(now) <= now.after(row.latency_goal) {
-        true => Due::Soon,
-        false => Due::Later,
-    }
-}
-
-/// Sends a request that misses its latency goal, behind those of its priority that are due sooner, or
-/// refuses it if its client would leave before the first event.
-fn send_late(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
-    let Some(row) = world.requests.get(key) else { return };
-    let due = due_past_goal(now, row);
-    let Some(plan) = plan_request(world, now, key, due, effects) else {
-        holding::hold_request(world, now, key, effects);
-        return;
-    };
-    let Some(row) = world.requests.get(key) else { return };
-    let demand = plan.demand.unwrap_or_else(|| {
-        let engine = routing::engine_of(world, row);
-        prediction::demand_of(engine, row)
-    });
+/// Returns the predicted time to the first event of a planned request; `None` for a plain service, whose
+/// time is not known.
+fn first_event_of(world: &World, row: &Request, plan: &SendPlan) -> Option<FirstEvent> {
+    let engine = routing::engine_of(world, row)?;
+    let demand = plan.demand.unwrap_or_else(|| prediction::demand_of(Some(engine), row));
     let expected_ms = plan.choice.expected_first_event_ms;
-    let first_event = FirstEvent { expected_ms, prefill_ms: demand.prefill_ms };
-    if !holding::refuse_if_too_late(world, now, key, first_event, effects) {
-        sending::send_request(world, now, key, &plan, effects);
-    }
+    Some(FirstEvent { expected_ms, prefill_ms: demand.prefill_ms })
 }
--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -1,5 +1,7 @@
 //! Chooses the backend server with the least loss for a request.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -62,6 +64,13 @@
     pub candidates: usize,
 }
 
+impl Choice {
+    /// Returns the expected time from the dispatch to the first event.
+    pub fn first_event(&self) -> Duration {
+        Duration::from_secs_f64(self.expected_first_event_ms.max(0.0) / 1e3)
+    }
+}
+
 /// Draws one of a route's services by weight.
 pub fn draw_service(
     serving: &ServingConfiguration,
--- a/crates/snipespan_core/src/gateway/systems/sending.rs
+++ b/crates/snipespan_core/src/gateway/systems/sending.rs
@@ -22,7 +22,6 @@
 use crate::gateway::tables::backend_servers::BackendServer;
 use crate::gateway::tables::memory_budget::MAX_SHORT_BODY;
 use crate::gateway::tables::requests::Request;
-use crate::gateway::tables::work::Due;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Work;
 use crate::gateway::tables::work::WorkDemand;
@@ -178,7 +177,7 @@
         send: row.sends,
         prompt_tokens: row.prompt_tokens,
         remaining: row.deadline.since(now),
-        is_late: row.due == Due::Later,
+        is_late: now.since(row.arrived) + choice.first_event() > row.latency_goal,
         expected_first_event_ms: choice.expected_first_event_ms,
         open_work: target.work.len(),
         slowdown: target.slowdown(now),
--- a/crates/snipespan_core/src/gateway/systems/stalls.rs
+++ b/crates/snipespan_core/src/gateway/systems/stalls.rs
@@ -17,7 +17,6 @@
 use crate::gateway::systems::splitting;
 use crate::gateway::systems::splitting::KvPlacement;
 use crate::gateway::tables::requests::Request;
-use crate::gateway::tables::work::Due;
 use crate::gateway::tables::work::Phase;
 use crate::gateway::tables::work::Work;
 use crate::gateway::world::World;
@@ -164,8 +163,6 @@
 fn silence_limit(row: &Request, work: &Work) -> Duration {
     let stall_limit = row.stall_limit();
     match work.phase {
-        // Work that arrives later may be admitted before it.
-        Phase::Prefill if row.due == Due::Later => stall_limit,
         Phase::Prefill => {
             let expected = Duration::from_secs_f64(work.expected_first_event_ms / 1e3);
             let slack = MIN_FIRST_EVENT_SLACK.max(row.latency_goal.mul_f64(SLACK_GOAL_SHARE));
--- a/crates/snipespan_core/src/gateway/tables/requests.rs
+++ b/crates/snipespan_core/src/gateway/tables/requests.rs
@@ -10,7 +10,6 @@
 use crate::gateway::serving::RouteKind;
 use crate::gateway::systems::leaving::Destination;
 use crate::gateway::tables::prompt_parts::PromptPart;
-use crate::gateway::tables::work::Due;
 use crate::gateway::tables::work::Urgency;
 use crate::keys::BackendServerKey;
 use crate::keys::CallerKey;
@@ -130,8 +129,6 @@
     pub gap_goal: Duration,
     /// Priority of its account or route, 0 first.
     pub priority: u8,
-    /// When it is due, as of its last placement.
-    pub due: Due,
     /// Maximum number of backend servers on which it may run.
     pub max_attempts: u32,
     /// When it arrived.
@@ -203,7 +200,6 @@
             latency_goal: Duration::ZERO,
             gap_goal: Duration::ZERO,
             priority: 0,
-            due: Due::Soon,
             max_attempts: 1,
             arrived: now,
             deadline,
@@ -245,7 +241,7 @@
 
     /// Returns the order in which engines admit it.
     pub fn urgency(&self) -> Urgency {
-        Urgency::new(self.priority, self.due)
+        Urgency::of_priority(self.priority)
     }
 
     /// Returns whether a refusal can promise that nothing of it has run, so that its client may send
--- a/crates/snipespan_core/src/gateway/tables/work.rs
+++ b/crates/snipespan_core/src/gateway/tables/work.rs
@@ -24,17 +24,7 @@
     Decode,
 }
 
-/// When a request is due, in comparison with others of its priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Due {
-    /// Within its latency goal: it can still be on time, or its client leaves that soon.
-    Soon,
-    /// Its latency goal is missed, and its client stays for longer than that of a request that
-    /// arrives now waits to be on time.
-    Later,
-}
-
-/// Order in which an engine admits work, lowest first.
+/// Order in which an engine admits work, lowest first; work of one urgency in the order of its arrival.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Urgency(u8);
 
@@ -42,11 +32,9 @@
     /// Number of urgencies that engines know.
     pub const COUNT: usize = 10;
 
-    /// Returns the urgency of a request: by its priority, and within it by when it is due. The
-    /// lowest priorities share the last two urgencies.
-    pub fn new(priority: u8, due: Due) -> Self {
-        const PRIORITIES: u8 = Urgency::COUNT as u8 / 2;
-        Self(priority.min(PRIORITIES - 1) * 2 + u8::from(due == Due::Later))
+    /// Returns the urgency of a priority; all below the tenth share the last one.
+    pub fn of_priority(priority: u8) -> Self {
+        Self(priority.min(Self::COUNT as u8 - 1))
     }
 
     /// Returns its number, from 0 to 9.
