A request waits for a backend server while it can be answered in time

Callers saw: a call that found its backend servers full was refused after a quarter of its time limit (0.25 of 1 s), though they had room soon after; a stream that found none was held for 2.5 s of its 10 s limit, while its client leaves a silent stream after 2 s: it never got the refusal that tells it to come back.

Cause: PLACEMENT_WAIT_SHARE, one share of the time limit for all, whatever the work needs and whenever the client leaves.

Now a request waits for a full backend server, or for one with a rate, as long as an idle one could answer it before its client leaves; all gateways see the same full servers, so another try would not do better. While no backend server is known, another gateway may know one: half of that time is left to the client.

Evidence: call_waits_for_a_full_backend_server_as_long_as_it_has_time and without_backend_servers_a_request_is_refused_in_time (stream) failed before.

--- a/crates/snipespan_core/src/gateway/systems/holding.rs
+++ b/crates/snipespan_core/src/gateway/systems/holding.rs
@@ -9,7 +9,9 @@
 use crate::gateway::systems::availability::SendObstacle;
 use crate::gateway::systems::ending;
 use crate::gateway::systems::prediction::FirstEvent;
+use crate::gateway::systems::routing;
 use crate::gateway::systems::shared_rates::RateWait;
+use crate::gateway::systems::splitting;
 use crate::gateway::tables::backend_servers::RateReason;
 use crate::gateway::tables::requests::Request;
 use crate::gateway::world::World;
@@ -24,9 +26,8 @@
 /// another one may take it before the share of the rate allows the next request.
 const RATE_RECHECK: Duration = Duration::from_millis(100);
 
-/// Share of a request's time limit for which it may wait for a backend server; a refused client
-/// needs the rest for its retry.
-const PLACEMENT_WAIT_SHARE: f64 = 0.25;
+/// Minimum time that is left of a time limit when a call of a plain service is sent.
+const MIN_CALL_TIME: Duration = Duration::from_millis(50);
 
 /// Time after which a client should retry that no data centre may serve for now; nobody knows when
 /// the operator changes that.
@@ -36,9 +37,29 @@
 /// if that is soon enough for it to wait.
 fn rate_wait(world: &World, now: Timestamp, row: &Request) -> Option<RateWait> {
     let wait = availability::only_rated(world, now, row)?;
-    let time_limit = row.deadline.since(row.arrived);
-    let is_soon = wait.until <= row.arrived.after(time_limit.mul_f64(PLACEMENT_WAIT_SHARE));
-    (wait.has_share && is_soon).then_some(wait)
+    (wait.has_share && wait.until <= last_send(world, now, row)).then_some(wait)
+}
+
+/// Returns the latest time at which a request may be sent so that an idle backend server answers it
+/// before its client leaves.
+fn last_send(world: &World, now: Timestamp, row: &Request) -> Timestamp {
+    let least = routing::engine_of(world, row).map_or(MIN_CALL_TIME, |engine| {
+        let prefill_ms = engine.prefill_ms_on(row.prompt_tokens, splitting::MAX_ENGINES);
+        Duration::from_secs_f64((prefill_ms + engine.iteration_ms(1, 0)) / 1e3)
+    });
+    row.abandoned_at(now).before(least)
+}
+
+/// Returns until when a request waits for a backend server. While there are some, they are full for
+/// all gateways alike, and it waits as long as an answer can come in time. While none is known,
+/// another gateway may know one, and half of that time is left to the client for going there.
+fn wait_end(world: &World, now: Timestamp, row: &Request) -> Timestamp {
+    let last_send = last_send(world, now, row);
+    let mut servers = world.backend_servers.rows.iter().map(|(_, server)| server);
+    match servers.any(|server| server.listing.service == row.service && server.accepts_work()) {
+        true => last_send,
+        false => row.arrived.after(last_send.since(row.arrived) / 2),
+    }
 }
 
 /// Logs that only backend servers with a rate are left for a request, when it begins to wait and when
@@ -72,8 +93,8 @@
 
 /// Refuses a request at once if no backend server of its service takes it, until the first of them
 /// takes some again; returns whether it was refused. A stream that its client has seen a part of
-/// waits for that if its client does, and a request waits for `PLACEMENT_WAIT_SHARE` of its time limit
-/// for a backend server with a rate of which this gateway has a share.
+/// waits for that if its client does, and a request waits for a backend server with a rate, of which this
+/// gateway has a share, if that takes it in time.
 pub fn refuse_if_unavailable(
     world: &mut World,
     now: Timestamp,
@@ -162,8 +183,8 @@
     }
 }
 
-/// Holds a request for which no backend server can be chosen, logged as `Held`, or refuses it after
-/// `PLACEMENT_WAIT_SHARE` of its time limit, or at once if no backend server wants requests.
+/// Holds a request for which no backend server can be chosen, logged as `Held`, or refuses it: at once
+/// if no backend server wants requests, otherwise when it has waited as long as it may.
 pub fn hold_request(world: &mut World, now: Timestamp, key: RequestKey, effects: &mut Vec<Effect>) {
     if refuse_if_unavailable(world, now, key, effects) {
         return;
@@ -174,10 +195,9 @@
         world.schedule_placement(key, until.min(now.after(RATE_RECHECK)));
         return;
     }
+    let is_overdue = now >= wait_end(world, now, row);
     let Some(row) = world.requests.get_mut(key) else { return };
     let code = row.last_code.unwrap_or(ResultCode::NoBackendServer);
-    let time_limit = row.deadline.since(row.arrived);
-    let is_overdue = now.since(row.arrived) >= time_limit.mul_f64(PLACEMENT_WAIT_SHARE);
     if is_overdue && row.first_byte.is_none() {
         ending::end_with_code(world, now, key, code, effects);
         return;
