A prompt that is held back keeps the time for its answer

They were held back until their prefill just fitted before the deadline, so that no time was left to write the answer.

Cause: the refusal of hopeless prompts counted the decoding, the end of the wait did not.

Now both use one time: the latest for the first event, from which the rest of the answer comes before the deadline and the client has not left.

Evidence: deferral::deferred_prompt_keeps_time_for_its_answer failed before. 326 tests of the gateway's decisions pass.

--- a/crates/snipespan_core/src/gateway/systems/deferral.rs
+++ b/crates/snipespan_core/src/gateway/systems/deferral.rs
@@ -63,15 +63,21 @@
     let split = splitting::max_split(engines).max(1);
     let least_backlog_ms = backlogs.get(split - 1).copied().unwrap_or_default();
     let start = now.after(Duration::from_secs_f64(least_backlog_ms / 1e3));
-    if row.is_untouched() && start > last_start(now, row, engine, split) {
+    let last_first_event = last_first_event(now, row, engine, split);
+    if row.is_untouched() && start.after(split_time(engine, row, split)) > last_first_event {
         return Some(HoldBack::GiveUp(overload));
     }
     let prefill = split_time(engine, row, split.min(USUAL_SPLIT));
     // Its engines are not chosen yet, so that its prefill may take longer than on idle ones.
     let expected_ms = backlog_ms + prefill.as_secs_f64() * 1e3;
     let first_event = FirstEvent { expected_ms, prefill_ms: 0.0 };
-    (now.after(first_event.latest()) < due_at(now, row, first_event))
-        .then_some(HoldBack::Defer(overload))
+    // It is due at its goal while it is expected to meet that.
+    let goal = row.arrived.after(row.latency_goal);
+    let due = match now.after(first_event.expected()) <= goal {
+        true => goal.min(last_first_event),
+        false => last_first_event,
+    };
+    (now.after(first_event.latest()) < due).then_some(HoldBack::Defer(overload))
 }
 
 /// Returns the shortest latency goal of the routes to a request's service. Engines whose backlog is
@@ -82,28 +88,17 @@
     shortest.unwrap_or(row.latency_goal)
 }
 
-/// Returns when a request that waits is due: at its latency goal while it is expected to meet that,
-/// then when its client leaves.
-fn due_at(now: Timestamp, row: &Request, first_event: FirstEvent) -> Timestamp {
-    let goal = row.arrived.after(row.latency_goal);
-    match now.after(first_event.expected()) <= goal {
-        true => goal,
-        false => row.abandoned_at(now),
-    }
-}
-
 /// Returns the time to prefill a prompt on `split` idle engines.
 fn split_time(engine: &EngineSpec, row: &Request, split: usize) -> Duration {
     Duration::from_secs_f64(engine.prefill_ms_on(row.prompt_tokens, split) / 1e3)
 }
 
-/// Returns the latest time at which the prefill of a request may begin on `split` engines so that it
-/// ends in time, and its first event comes before the client of its stream leaves.
-fn last_start(now: Timestamp, row: &Request, engine: &EngineSpec, split: usize) -> Timestamp {
-    let prefill = split_time(engine, row, split);
+/// Returns the latest time for the first event of a request on `split` engines: the rest of its answer
+/// then comes before its deadline, and the client of its stream has not left.
+fn last_first_event(now: Timestamp, row: &Request, engine: &EngineSpec, split: usize) -> Timestamp {
     let decode_ms = engine.decode_ms(row.output_tokens, 1, row.prompt_tokens / split as u64);
     let decode = Duration::from_secs_f64(decode_ms / 1e3);
-    row.deadline.before(prefill + decode).min(row.abandoned_at(now).before(prefill))
+    row.deadline.before(decode).min(row.abandoned_at(now))
 }
 
 /// Returns the prefill backlogs of engines in ms, the smallest first.
--- a/crates/snipespan_core/tests/gateway/deferral.rs
+++ b/crates/snipespan_core/tests/gateway/deferral.rs
@@ -126,6 +126,21 @@
     }
 }
 
+/// Guards against deferring a prompt until only its prefill fits into its time, and not its answer. Behind
+/// 1.2 s of backlog its prefill may take 8.3 s of its 10 s, and 800 tokens take 1.3 s to decode.
+#[test]
+fn deferred_prompt_keeps_time_for_its_answer() {
+    let mut kit = Kit::new(8);
+    set_peer_backlog(&mut kit, 1_200.0);
+    kit.arrive("/long/1", LONGEST_PROMPT_TOKENS);
+    let arrived = kit.now;
+    while reserves(&kit) == 0 {
+        set_peer_backlog(&mut kit, 1_200.0);
+        kit.run_until(kit.now.after(Duration::from_millis(50)));
+        assert!(kit.now < arrived.after(Duration::from_millis(600)), "no time to decode");
+    }
+}
+
 /// Guards against holding a prompt for which the engines have too much other work: its 5 s on idle
 /// engines fit into its 10 s, but not behind the 7 s of work that they have.
 #[test]
