A missed goal counts by its length in the choice of engines

Long prompts were read by one engine alone for up to ten seconds, since each engine that would have shared the work had other requests, and each of these counted as much as the long prompt.

A client with a goal of 4 s that is missed loses more time than one with 0.3 s.

Now a loss is in ms of goals that are expected to be missed: the latency goal, or the gap goal of a stream that pauses. Both are stated by the routes; no price and no length of a prompt is in it.

--- a/crates/snipespan_core/src/gateway/systems/leaving.rs
+++ b/crates/snipespan_core/src/gateway/systems/leaving.rs
@@ -28,8 +28,9 @@
 use crate::keys::WorkKey;
 use crate::time::Timestamp;
 
-/// Loss of sending to another data centre, as traffic there is paid by the byte; used where no cost is set, and the minimum where one is, so that data centres
-/// with equal load do not exchange requests.
+/// Loss of sending to another data centre, in shares of the latency goal, as traffic there is paid by
+/// the byte; used where no cost is set, and the minimum where one is, so that data centres with equal
+/// load do not exchange requests.
 const REMOTE_LOSS: f64 = 0.003;
 
 /// Factor on the cost from which a gain lets requests leave; they leave until the gain is below the
--- a/crates/snipespan_core/src/gateway/systems/prediction.rs
+++ b/crates/snipespan_core/src/gateway/systems/prediction.rs
@@ -1,8 +1,8 @@
 //! Predicts how long an engine takes for a request, and the loss that the request causes.
 //!
-//! The unit of a loss is one request that misses a promise of its route: its latency goal, or the gap
-//! goal of its stream. Each request counts the same, whatever its length: the configuration ranks them
-//! by priority only, which engines apply when they admit them.
+//! A loss is in ms of goals that requests are expected to miss, or, where stated, in shares of the
+//! latency goal of one request: a missed goal costs a client the more time, the longer the goal is. The
+//! length of a prompt counts only as far as its route's goals allow for it.
 
 use std::time::Duration;
 
@@ -29,10 +29,11 @@
 /// goal, and waits for its prefill again.
 const MOVED_STREAM_LOSS: f64 = 2.0;
 
-/// Loss of a request whose client leaves before its first event. It is more than what one choice can cost other requests: whether a request is served at all is decided before.
+/// Loss of a request whose client leaves before its first event. It is more than what one choice can cost
+/// other requests: whether a request is served at all is decided before.
 const UNSERVED_LOSS: f64 = 1_000.0;
 
-/// Loss that grows in proportion to the predicted time, here for a
+/// Loss, in shares of the latency goal, that grows in proportion to the predicted time, here for a
 /// time of one latency goal; for a plain service, in proportion to the slots in use, here for all.
 /// With it the faster of two safe choices wins, and requests that are late already do not pile up
 /// at one engine.
@@ -194,7 +195,7 @@
     wait
 }
 
-/// Returns the loss of the streams that an engine decodes when `prefill_ms` of prefill are added to
+/// Returns the loss, in ms of gap goals, of the streams that an engine decodes when `prefill_ms` of prefill are added to
 /// its iterations.
 pub fn interference_loss(
     world: &World,
@@ -215,7 +216,7 @@
         let goal_ms = work.demand.gap_goal_ms;
         let limit_ms = stall_limit_ms(&work.demand);
         let lost = |gap_ms| gap_loss(gap_ms, goal_ms, limit_ms);
-        lost(after_ms) - lost(before_ms)
+        goal_ms * (lost(after_ms) - lost(before_ms))
     });
     lost.sum()
 }
@@ -226,7 +227,8 @@
     stall_limit(goal(demand.latency_goal_ms), goal(demand.gap_goal_ms)).as_secs_f64() * 1e3
 }
 
-/// Returns the loss of a stream that pauses for `gap_ms` and is moved after `limit_ms`.
+/// Returns the loss of a stream that pauses for `gap_ms` and is moved after `limit_ms`, in shares of its
+/// gap goal.
 fn gap_loss(gap_ms: f64, goal_ms: f64, limit_ms: f64) -> f64 {
     if goal_ms <= 0.0 || gap_ms <= goal_ms * GAP_MARGIN {
         return 0.0;
@@ -237,7 +239,8 @@
     }
 }
 
-/// Returns the loss due to the predicted time to the first event of a request that is sent at `now`.
+/// Returns the loss due to the predicted time to the first event of a request that is sent at `now`, in
+/// shares of its latency goal.
 pub fn late_loss(now: Timestamp, first_event: FirstEvent, request: &Request) -> f64 {
     let is_unserved = now.after(first_event.latest()) > request.abandoned_at(now);
     let unserved = if is_unserved { UNSERVED_LOSS } else { 0.0 };
--- a/crates/snipespan_core/src/gateway/systems/routing.rs
+++ b/crates/snipespan_core/src/gateway/systems/routing.rs
@@ -21,18 +21,18 @@
 use crate::keys::BackendServerKey;
 use crate::time::Timestamp;
 
-/// Loss of sending a short prompt to an engine without other work; falls to zero at `PACKED_SHARE` of
-/// the slots in use. It gathers streams at few engines and leaves the others to long prompts, whose
-/// prefill would make the streams pause.
+/// Loss of sending a short prompt to an engine without other work, in shares of its latency goal; falls
+/// to zero at `PACKED_SHARE` of the slots in use. It gathers streams at few engines and leaves the
+/// others to long prompts, whose prefill would make the streams pause.
 const IDLE_ENGINE_LOSS: f64 = 0.2;
 
 /// Share of an engine's slots up to which short prompts are gathered there. The rest is left for
 /// requests that other gateways send to the same engine at the same time.
 const PACKED_SHARE: f64 = 0.8;
 
-/// Loss of sending a short prompt to an engine with `PACKED_SHARE` of its slots in use; twice that with
-/// all in use. As much as the loss at an idle engine, so that the
-/// next engine is used before slots run out.
+/// Loss of sending a short prompt to an engine with `PACKED_SHARE` of its slots in use, in shares of its
+/// latency goal; twice that with all in use. As much as the loss at an idle engine, so that the next
+/// engine is used before slots run out.
 const CROWDED_ENGINE_LOSS: f64 = 0.2;
 
 /// Maximum number of backend servers among which one request chooses, drawn at random. Hundreds of
@@ -182,13 +182,13 @@
         prediction::first_event_ms(engine, &load, wait_ms + load.backlog_ms + demand.prefill_ms)
             + leaving::round_trip_ms(world, row);
     let first_event = FirstEvent { expected_ms: first_event_ms, prefill_ms: demand.prefill_ms };
-    let own = prediction::late_loss(now, first_event, request);
+    let own = prediction::late_loss(now, first_event, request) * demand.latency_goal_ms;
     let interference = prediction::interference_loss(world, row, engine, &load, demand.prefill_ms);
     let packing = match demand.prefill_ms < SHORT_PREFILL_MS {
-        true => packing_loss(load.open as f64 / slots as f64),
+        true => packing_loss(load.open as f64 / slots as f64) * demand.latency_goal_ms,
         false => 0.0,
     };
-    let remote = remote_loss(world, row);
+    let remote = remote_loss(world, row) * demand.latency_goal_ms;
     Some((own + interference + packing + remote, first_event_ms))
 }
 
--- a/crates/snipespan_core/src/gateway/systems/splitting.rs
+++ b/crates/snipespan_core/src/gateway/systems/splitting.rs
@@ -22,7 +22,7 @@
 /// Share of a service's engines that one prompt may use, so that short prompts still find some.
 const MAX_ENGINE_SHARE: f64 = 0.5;
 
-/// Loss for each engine of a split: the failure of any engine
+/// Loss for each engine of a split, in shares of the latency goal: the failure of any engine
 /// fails the request.
 const ENGINE_LOSS: f64 = 0.005;
 
@@ -167,7 +167,7 @@
     let prefilling = works.filter(|work| work.phase == Phase::Prefill);
     let delayed = prefilling.map(|work| {
         let share = load.slowdown * part_prefill_ms / work.demand.latency_goal_ms.max(1.0);
-        share.min(1.0)
+        work.demand.latency_goal_ms * share.min(1.0)
     });
     delayed.sum()
 }
@@ -199,7 +199,7 @@
     let first_event =
         FirstEvent { expected_ms: expected_first_event_ms, prefill_ms: part_prefill_ms };
     let late = prediction::late_loss(now, first_event, request);
-    let loss = late + engines + interference;
+    let loss = (late + engines) * demand.latency_goal_ms + interference;
     let servers = parts.iter().map(|part| part.server).collect();
     Some(EngineSplit { servers, part_prefill_ms, part_tokens, expected_first_event_ms, loss })
 }
--- a/crates/snipespan_core/tests/gateway/placing.rs
+++ b/crates/snipespan_core/tests/gateway/placing.rs
@@ -273,11 +273,11 @@
     assert_eq!(kit.world.work.len(), 1, "helpers are done with the first event");
 }
 
-/// Guards against counting a long prompt as many short ones: beside one idle engine that decodes a
-/// stream, and one that prefills for 250 ms, being late itself costs less than being a little sooner and
-/// making the stream of another client pause.
+/// Guards against counting a prompt by its length instead of its route's goals. Of two engines, one
+/// decodes a stream, which would pause beyond its gap goal of 250 ms, and one prefills for 250 ms, behind
+/// which the prompt is a little later. Its goal is about as long, so it spares the stream.
 #[test]
-fn long_prompt_counts_as_one_request() {
+fn prompt_counts_by_its_goals() {
     let mut kit = Kit::new(2);
     kit::hold_work(&mut kit, ENGINE, 1, 1);
     let report = kit::work_report(2, ENGINE, 2, Phase::Prefill);
