--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -91,7 +91,7 @@
         prompt_tokens: u64,
         /// Time until the deadline of the request.
         remaining: Duration,
-        /// Whether it is ranked behind requests that can still meet their latency goal.
+        /// Whether it is expected to miss its latency goal.
         is_late: bool,
         /// Expected time from the dispatch to the first event, in ms.
         expected_first_event_ms: f64,
