Failing test of a deadly part that ends servers before the head of the answer

It now also sends the head together with the first event, closes its connections in order or resets them, and comes back under its id or another one. crash_shapes.rs runs three real gateways before 2, 3 or 10 of them, streams and plain answers, alone and beside servers that end for other reasons.

--- a/crates/snipespan_fakes/src/fault_proxy.rs
+++ b/crates/snipespan_fakes/src/fault_proxy.rs
@@ -40,6 +40,9 @@
     Disconnect,
     /// Resets all connections and listens no more, as after the end of the process behind it.
     Down,
+    /// Closes all connections in order and listens no more, as after the end of a process that had
+    /// read all that it was sent.
+    Closed,
 }
 
 /// A running proxy, which stops and closes its connections when it is dropped.
@@ -134,9 +137,9 @@
         let mut down = faults.fault.clone();
         tokio::select! {
             () = accept_connections(&listener, &target, &faults, &callers) => return,
-            () = wait_until(&mut down, |fault| fault == Fault::Down) => drop(listener),
+            () = wait_until(&mut down, is_down) => drop(listener),
         }
-        wait_until(&mut faults.fault, |fault| fault != Fault::Down).await;
+        wait_until(&mut faults.fault, |fault| !is_down(fault)).await;
         listener = loop {
             match TcpListener::bind(address).await {
                 Ok(listener) => break listener,
@@ -160,7 +163,7 @@
         let callers = Arc::clone(callers);
         let target = *lock(target);
         tokio::spawn(async move {
-            if resets(*faults.fault.borrow()) {
+            if ends_connections(*faults.fault.borrow()) {
                 return;
             }
             let Ok(server) = TcpStream::connect(target).await else { return };
@@ -177,17 +180,18 @@
 }
 
 async fn forward_connection(mut client: TcpStream, mut server: TcpStream, mut faults: Faults) {
-    let is_reset = {
+    let ending = faults.fault.clone();
+    let is_ended_by_fault = {
         let (client_reader, client_writer) = client.split();
         let (server_reader, server_writer) = server.split();
         let requests = forward_bytes(client_reader, server_writer, faults.clone());
         let answers = forward_bytes(server_reader, client_writer, faults.clone());
         tokio::select! {
             _ = async { tokio::join!(requests, answers) } => false,
-            () = wait_until(&mut faults.fault, resets) => true,
+            () = wait_until(&mut faults.fault, ends_connections) => true,
         }
     };
-    if is_reset {
+    if is_ended_by_fault && *ending.borrow() != Fault::Closed {
         // An orderly close would look like the end of an answer that has no length.
         for stream in [client, server] {
             if let Err(e) = stream.set_zero_linger() {
@@ -197,8 +201,12 @@
     }
 }
 
-const fn resets(fault: Fault) -> bool {
-    matches!(fault, Fault::Disconnect | Fault::Down)
+const fn ends_connections(fault: Fault) -> bool {
+    matches!(fault, Fault::Disconnect | Fault::Down | Fault::Closed)
+}
+
+const fn is_down(fault: Fault) -> bool {
+    matches!(fault, Fault::Down | Fault::Closed)
 }
 
 /// Waits until the fault fulfils the condition or the proxy is dropped.
@@ -226,7 +234,7 @@
                 let seconds = read as f64 / f64::from(rate.max(1));
                 tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
             }
-            Fault::None | Fault::Freeze | Fault::Disconnect | Fault::Down => {}
+            Fault::None | Fault::Freeze | Fault::Disconnect | Fault::Down | Fault::Closed => {}
         }
         if read == 0 || writer.write_all(&buf[..read]).await.is_err() {
             break;
--- a/crates/snipespan_fakes/src/users_platform/replica.rs
+++ b/crates/snipespan_fakes/src/users_platform/replica.rs
@@ -43,6 +43,16 @@
 /// Part of a prompt that ends each replica that begins to write an answer to it, for good.
 pub const DEADLY_PART: u64 = 0xdead;
 
+/// When a replica sends the head of a stream; [`DEADLY_PART`] ends it as its first event is due.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HeadTiming {
+    /// As soon as the request is admitted.
+    #[default]
+    AtOnce,
+    /// Together with the first event, as if it waited for that in a buffer.
+    WithFirstEvent,
+}
+
 /// Time for which a replica that has crashed runs nothing.
 const DOWN_TIME: Duration = Duration::from_millis(500);
 
@@ -61,6 +71,8 @@
     pub slots: usize,
     /// Memory that can be reserved, in tokens.
     pub memory_tokens: u64,
+    /// When it sends the heads of streams.
+    pub head_timing: HeadTiming,
 }
 
 /// Fault of a replica, which tests may change while it runs.
@@ -159,8 +171,8 @@
     /// Times at which requests and orders arrived.
     arrivals: Mutex<Vec<Instant>>,
     refusals: Mutex<Vec<Refusal>>,
-    /// Time at which [`DEADLY_PART`] ended the replica, which answers nothing since.
-    ended: Mutex<Option<Instant>>,
+    /// Time at which the replica ended; it answers nothing since.
+    ended: watch::Sender<Option<Instant>>,
     /// Time of the last crash by [`ReplicaFault::CrashesOnPart`].
     crashed: watch::Sender<Option<Instant>>,
     runs: Mutex<Vec<Run>>,
@@ -188,7 +200,7 @@
             notice: Mutex::default(),
             arrivals: Mutex::default(),
             refusals: Mutex::default(),
-            ended: Mutex::default(),
+            ended: watch::Sender::default(),
             crashed: watch::Sender::default(),
             runs: Mutex::default(),
             reservations: Mutex::default(),
@@ -244,9 +256,20 @@
         lock(&self.shared.refusals).clone()
     }
 
-    /// Returns the time at which [`DEADLY_PART`] ended it.
+    /// Returns the time at which [`DEADLY_PART`] or [`Self::end`] ended it.
     pub fn ended(&self) -> Option<Instant> {
-        *lock(&self.shared.ended)
+        *self.shared.ended.borrow()
+    }
+
+    /// Waits until it has ended.
+    pub async fn wait_until_ended(&self) {
+        // The sender lives as long as the replica.
+        let _ = self.shared.ended.subscribe().wait_for(Option::is_some).await;
+    }
+
+    /// Ends it: it answers nothing any more. The caller closes its connections.
+    pub fn end(&self) {
+        self.shared.end();
     }
 
     /// Returns the time of its last crash by [`ReplicaFault::CrashesOnPart`].
@@ -294,6 +317,14 @@
 }
 
 impl Shared {
+    /// Records the end of the replica, once.
+    fn end(&self) {
+        self.ended.send_if_modified(|ended| match ended {
+            Some(_) => false,
+            None => ended.replace(Instant::now()).is_none(),
+        });
+    }
+
     fn record_refusal(&self, headers: &HeaderMap) {
         let request = headers.get("attempt-id").and_then(|value| value.to_str().ok());
         let seconds = lock(&self.notice).retry_after.first().and_then(|text| text.parse().ok());
@@ -334,7 +365,7 @@
 /// notice to the answer.
 async fn add_notice(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
     lock(&shared.arrivals).push(Instant::now());
-    if lock(&shared.ended).is_some() {
+    if shared.ended.borrow().is_some() {
         std::future::pending::<()>().await;
     }
     let is_refused = !lock(&shared.notice).retry_after.is_empty();
@@ -428,6 +459,13 @@
     let request = text("attempt-id").unwrap_or_default().to_owned();
     let last: u64 = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let run = shared.start_run(&request, format!("{method} {uri}"), peer, (headers.clone(), body));
+    let is_stream = uri.path().starts_with(STREAM_PATH_PREFIX);
+    let sends_head_at_once = is_stream && shared.config.head_timing == HeadTiming::AtOnce;
+    if has_part(&headers, DEADLY_PART) && !sends_head_at_once {
+        tokio::time::sleep(shared.config.pause).await;
+        shared.end();
+        std::future::pending::<()>().await;
+    }
     let attempt_id = if fault == ReplicaFault::WrongAttemptId { "another" } else { &request };
     let mut response = match fault {
         ReplicaFault::NeverAnswers => std::future::pending().await,
@@ -436,7 +474,10 @@
             run.finish();
             (StatusCode::INTERNAL_SERVER_ERROR, "broken").into_response()
         }
-        _ if uri.path().starts_with(STREAM_PATH_PREFIX) => {
+        _ if is_stream => {
+            if !sends_head_at_once {
+                tokio::time::sleep(shared.config.pause).await;
+            }
             stream_response(&shared, run, fault, (last, &headers))
         }
         _ => plain_response(&shared, run, fault, &request).await,
@@ -515,20 +556,24 @@
     let mut crashed = shared.crashed.subscribe();
     let shared = Arc::clone(shared);
     let (events, pause) = (shared.config.events, shared.config.pause);
+    let first_pause = match shared.config.head_timing {
+        HeadTiming::AtOnce => pause,
+        HeadTiming::WithFirstEvent => Duration::ZERO,
+    };
     // Ends when the caller disconnects, as the channel then takes no more parts.
     tokio::spawn(async move {
         let sending = async {
             if is_ending {
                 // The head of the answer is on its way by then.
                 tokio::time::sleep(pause).await;
-                lock(&shared.ended).get_or_insert(Instant::now());
+                shared.end();
                 std::future::pending::<()>().await;
             }
             if is_crashing {
                 tokio::time::sleep(pause).await;
                 shared.crashed.send_replace(Some(Instant::now()));
             }
-            send_events(&tx, &run, fault, (last, events), pause).await
+            send_events(&tx, &run, fault, (last, events), (first_pause, pause)).await
         };
         tokio::select! {
             biased;
@@ -551,17 +596,18 @@
 
 type PartSender = mpsc::Sender<std::io::Result<Bytes>>;
 
-/// Sends the events after the first number up to the second one; `None` if nobody receives them.
+/// Sends the events after the first number up to the second one, with the first pause before the
+/// first event and the other one before each further event; `None` if nobody receives them.
 async fn send_events(
     tx: &PartSender,
     run: &RunGuard,
     fault: ReplicaFault,
     (last, events): (u64, u64),
-    pause: Duration,
+    (first_pause, pause): (Duration, Duration),
 ) -> Option<()> {
     let send = async |part: &[u8]| tx.send(Ok(Bytes::copy_from_slice(part))).await.ok();
     for (sent, id) in (last + 1..=events).enumerate() {
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(if sent == 0 { first_pause } else { pause }).await;
         let event = stream_event(id).into_bytes();
         match fault {
             ReplicaFault::Disconnects(after) if sent as u64 >= after => {
--- a/crates/snipespan_fakes/tests/replica.rs
+++ b/crates/snipespan_fakes/tests/replica.rs
@@ -7,6 +7,7 @@
 use snipespan_fakes::fault_proxy::Fault;
 use snipespan_fakes::fault_proxy::FaultProxy;
 use snipespan_fakes::users_platform::replica::FakeReplica;
+use snipespan_fakes::users_platform::replica::HeadTiming;
 use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::replica::ReplicaFault;
 use tokio::io::AsyncReadExt;
@@ -21,6 +22,7 @@
         pause: Duration::from_millis(20),
         slots: 4,
         memory_tokens: 1000,
+        head_timing: HeadTiming::default(),
     };
     let replica = FakeReplica::start(config, None).await.expect("the replica starts");
     replica.set_fault(fault);
--- a/crates/snipespan_soak/src/site.rs
+++ b/crates/snipespan_soak/src/site.rs
@@ -11,6 +11,7 @@
 use snipespan_fakes::fault_proxy::Fault;
 use snipespan_fakes::fault_proxy::FaultProxy;
 use snipespan_fakes::users_platform::replica::FakeReplica;
+use snipespan_fakes::users_platform::replica::HeadTiming;
 use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::store::FakeStore;
 
@@ -79,6 +80,7 @@
                     pause: EVENT_PAUSE,
                     slots: 64,
                     memory_tokens: 232_000,
+                    head_timing: HeadTiming::default(),
                 };
                 let fake = FakeReplica::start(replica_config.clone(), any_port).await?;
                 let proxy = FaultProxy::start_at(addresses.proxies(), fake.address()).await?;
--- a/crates/snipespand/tests/gateway/harness.rs
+++ b/crates/snipespand/tests/gateway/harness.rs
@@ -25,6 +25,7 @@
 use serde_json::Value;
 use serde_json::json;
 use snipespan_fakes::users_platform::replica::FakeReplica;
+use snipespan_fakes::users_platform::replica::HeadTiming;
 use snipespan_fakes::users_platform::replica::ReplicaConfig;
 use snipespan_fakes::users_platform::store::FakeStore;
 use snipespan_platform_adapter::connection::AnswerLimits;
@@ -85,6 +86,7 @@
         pause: Duration::from_millis(30),
         slots: 16,
         memory_tokens: 232_000,
+        head_timing: HeadTiming::default(),
     }
 }
 
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -5,6 +5,8 @@
 mod answers;
 mod cold_servers;
 mod configuration;
+mod crash_fleet;
+mod crash_shapes;
 mod crashing_part;
 mod data_centres;
 mod draining;
