Logs: why a failed attempt counts against no part of its prompt

A crash that counted against nothing left no line that said so, and the logs could not tell the hypotheses of the incident apart. `attempt failed` now names the incarnation of the backend server and the evidence: counted, known crash, no crash, answer awaited, answer went on, no parts or table full.

--- a/crates/snipespan_core/src/gateway/decision.rs
+++ b/crates/snipespan_core/src/gateway/decision.rs
@@ -17,6 +17,7 @@
 use crate::gateway::tables::backend_servers::RateReason;
 use crate::gateway::tables::memory_budget::BodyRefusal;
 use crate::gateway::tables::peers::GatewayView;
+use crate::gateway::tables::prompt_parts::CrashEvidence;
 use crate::gateway::tables::prompt_parts::PromptPart;
 use crate::gateway::tables::shared_rates::Allowance;
 use crate::gateway::tables::shared_rates::Apportionment;
@@ -167,6 +168,11 @@
         reason: FailReason,
         /// How far the answer had come.
         stage: AnswerStage,
+        /// [`Listing::instance_hash`](crate::gateway::event::Listing::instance_hash) of the backend
+        /// server.
+        instance_hash: u64,
+        /// Whether it counts against the parts of the prompt.
+        evidence: CrashEvidence,
         /// Time since the dispatch.
         after: Duration,
         /// Failures of the backend server since its last success.
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -178,16 +178,21 @@
     if let Some(server) = world.backend_servers.rows.get(work.backend_server)
         && let Some(row) = world.requests.get(request)
     {
+        let (id, backend_server) = (row.id.clone(), server.listing.id.clone());
+        let (instance_hash, failures) = (server.listing.instance_hash, server.failures);
+        let failure = (reason, stage);
+        let evidence =
+            prompt_parts::record_failure(world, now, request, instance_hash, failure, effects);
         effects.push(Effect::LogDecision(Box::new(Decision::Failed {
-            id: row.id.clone(),
-            backend_server: server.listing.id.clone(),
+            id,
+            backend_server,
             reason,
             stage,
+            instance_hash,
+            evidence,
             after: now.since(work.dispatched),
-            failures: server.failures,
+            failures,
         })));
-        let instance_hash = server.listing.instance_hash;
-        prompt_parts::record_failure(world, now, request, instance_hash, (reason, stage), effects);
     }
     retry_if_repeatable(world, now, request, reason.code(), effects);
 }
--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -20,6 +20,7 @@
 use crate::gateway::systems::ending;
 use crate::gateway::systems::feeds;
 use crate::gateway::tables::prompt_parts::Crash;
+use crate::gateway::tables::prompt_parts::CrashEvidence;
 use crate::gateway::tables::prompt_parts::Probe;
 use crate::gateway::tables::prompt_parts::PromptPart;
 use crate::gateway::tables::prompt_parts::Suspect;
@@ -98,19 +99,26 @@
     log_change(row, was_blocked, effects);
 }
 
-/// Returns whether an attempt failed like one that crashes its backend server: the answer had just
-/// begun.
-fn is_crash(reason: FailReason, stage: AnswerStage) -> bool {
-    let has_just_begun = match stage {
-        AnswerStage::Awaited => false,
-        AnswerStage::Begun => true,
-        AnswerStage::Events { since_first, .. } => since_first < BEGINNING,
-    };
-    reason == FailReason::Broken && has_just_begun
+/// Returns why an attempt that failed in this way is no sign of a crash by its prompt; `None` if it
+/// may be one: the answer had just begun.
+const fn exonerate(reason: FailReason, stage: AnswerStage) -> Option<CrashEvidence> {
+    if !matches!(reason, FailReason::Broken) {
+        return Some(CrashEvidence::NoCrash);
+    }
+    match stage {
+        AnswerStage::Awaited => Some(CrashEvidence::Awaited),
+        AnswerStage::Events { since_first, .. }
+            if since_first.as_nanos() >= BEGINNING.as_nanos() =>
+        {
+            Some(CrashEvidence::WentOn)
+        }
+        AnswerStage::Begun | AnswerStage::Events { .. } => None,
+    }
 }
 
-/// Records that an attempt failed. If its answer had just begun, this counts against the parts of
-/// its prompt: only against the blocked ones if there are any, as they explain the crash.
+/// Records that an attempt failed, and returns whether it counts. If its answer had just begun, it
+/// counts against the parts of its prompt: only against the blocked ones if there are any, as they
+/// explain the crash.
 pub fn record_failure(
     world: &mut World,
     now: Timestamp,
@@ -118,27 +126,47 @@
     instance_hash: u64,
     (reason, stage): (FailReason, AnswerStage),
     effects: &mut Vec<Effect>,
-) {
-    if !is_crash(reason, stage) {
-        return;
+) -> CrashEvidence {
+    if let Some(evidence) = exonerate(reason, stage) {
+        return evidence;
     }
-    let Some(row) = world.requests.get(request) else { return };
+    let Some(row) = world.requests.get(request) else { return CrashEvidence::NoParts };
     let is_blocked = |part: &PromptPart| world.suspects.get(*part).is_some_and(Suspect::is_blocked);
     let blocked: Vec<_> = row.parts.iter().copied().filter(is_blocked).collect();
     let blamed = if blocked.is_empty() { row.parts.to_vec() } else { blocked };
     let crash = Crash { instance_hash, request_hash: row.own_part.0, at: now };
+    let mut evidence = CrashEvidence::NoParts;
     for part in blamed {
-        let was_sound = world.suspects.sound.contains(part, now);
-        let Some(row) = world.suspects.get_or_insert(part, now) else { continue };
-        let was_blocked = row.is_blocked();
-        row.was_sound |= was_sound;
-        if row.add_crash(crash) {
-            row.changed = now;
-            log_step(row, SuspicionStep::Crash, effects);
-            log_change(row, was_blocked, effects);
-            world.suspects.unreported.insert(part);
+        let counted = count_crash(world, now, part, crash, effects);
+        if evidence != CrashEvidence::Counted {
+            evidence = counted;
         }
     }
+    evidence
+}
+
+/// Counts a crash against a part.
+fn count_crash(
+    world: &mut World,
+    now: Timestamp,
+    part: PromptPart,
+    crash: Crash,
+    effects: &mut Vec<Effect>,
+) -> CrashEvidence {
+    let was_sound = world.suspects.sound.contains(part, now);
+    let Some(row) = world.suspects.get_or_insert(part, now) else {
+        return CrashEvidence::TableFull;
+    };
+    let was_blocked = row.is_blocked();
+    row.was_sound |= was_sound;
+    if !row.add_crash(crash) {
+        return CrashEvidence::KnownCrash;
+    }
+    row.changed = now;
+    log_step(row, SuspicionStep::Crash, effects);
+    log_change(row, was_blocked, effects);
+    world.suspects.unreported.insert(part);
+    CrashEvidence::Counted
 }
 
 /// Records that an answer goes on after its beginning, or is complete: none of its parts crashes
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use derive_more::Display;
 use derive_more::LowerHex;
 use serde::Deserialize;
 use serde::Serialize;
@@ -95,6 +96,32 @@
     pub at: Timestamp,
 }
 
+/// Whether a failed attempt counts against the parts of its prompt, and why it does not.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CrashEvidence {
+    /// It counts against one part or more.
+    #[display("counted")]
+    Counted,
+    /// For each part, the same crash is known already.
+    #[display("known crash")]
+    KnownCrash,
+    /// The connection did not break.
+    #[display("no crash")]
+    NoCrash,
+    /// No head of an answer had arrived.
+    #[display("answer awaited")]
+    Awaited,
+    /// The answer had gone on for longer than one that crashes its backend server.
+    #[display("answer went on")]
+    WentOn,
+    /// The prompt has no part that other prompts may share.
+    #[display("no parts")]
+    NoParts,
+    /// The table has no room for the parts.
+    #[display("table full")]
+    TableFull,
+}
+
 /// A request that was sent although it has a blocked part, to see whether the part still crashes
 /// backend servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/snipespand/src/gateway/decisions.rs
+++ b/crates/snipespand/src/gateway/decisions.rs
@@ -86,7 +86,16 @@
                 reason:? = reason, after_ms = ms(*after); "attempt not run"
             );
         }
-        Decision::Failed { id, backend_server, reason, stage, after, failures } => {
+        Decision::Failed {
+            id,
+            backend_server,
+            reason,
+            stage,
+            instance_hash,
+            evidence,
+            after,
+            failures,
+        } => {
             metrics.count("attempt_failed");
             let (has_begun, event_reads, first_event_ms) = match stage {
                 AnswerStage::Awaited => (false, 0, -1.0),
@@ -96,7 +105,7 @@
             log::info!(
                 request = id.as_str(), backend_server = backend_server.as_str(),
                 reason:? = reason, has_begun, event_reads, first_event_ms, after_ms = ms(*after),
-                failures; "attempt failed"
+                instance = format!("{instance_hash:x}"), evidence:%, failures; "attempt failed"
             );
         }
         Decision::PartBlocked { id, part, crashes, wait } => log::info!(
