Parts of prompts: a crash before the head of the answer counts

Callers saw their servers end one after the other: requests with a part that ends backend servers were sent on long after the fifth crash (BUDGET).

Cause: a crash counted only if the head of the answer had arrived. A server that begins to write may end before a byte has left it: the head waits in a buffer for the first event, and what was not read is dropped with a reset. Nothing counted then, neither crash nor outcome of a probe, and bystanders with a first event were blamed instead. Evidence: 186 of 222 failed attempts with the part were logged as `answer awaited`.

All that wait at the server have the same trace; what sets the guilty part apart is that it is in every such crash and in no answer since. Sound parts are cleared by the answers that their requests get elsewhere, and one that was sound needs six.

The test other_failures_count_against_no_part asked that a break before the head counts nothing, which was the fault; in its place crash_at_the_beginning_counts asks for the opposite, and two other failures are added to the first.

--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -100,19 +100,19 @@
 }
 
 /// Returns why an attempt that failed in this way is no sign of a crash by its prompt; `None` if it
-/// may be one: the answer had just begun.
+/// may be one: the answer had not gone on for long, or its head had not arrived. A backend server that
+/// begins to write may end before any byte has left it.
 const fn exonerate(reason: FailReason, stage: AnswerStage) -> Option<CrashEvidence> {
     if !matches!(reason, FailReason::Broken) {
         return Some(CrashEvidence::NoCrash);
     }
     match stage {
-        AnswerStage::Awaited => Some(CrashEvidence::Awaited),
         AnswerStage::Events { since_first, .. }
             if since_first.as_nanos() >= BEGINNING.as_nanos() =>
         {
             Some(CrashEvidence::WentOn)
         }
-        AnswerStage::Begun | AnswerStage::Events { .. } => None,
+        AnswerStage::Awaited | AnswerStage::Begun | AnswerStage::Events { .. } => None,
     }
 }
 
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -85,7 +85,7 @@
 )]
 pub struct PromptPart(pub u64);
 
-/// A crash of a backend server while it began an answer to a prompt with the part.
+/// A crash of a backend server that had not yet answered a prompt with the part, or had just begun to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// [`crate::gateway::event::Listing::instance_hash`] of the backend server.
@@ -108,9 +108,6 @@
     /// The connection did not break.
     #[display("no crash")]
     NoCrash,
-    /// No head of an answer had arrived.
-    #[display("answer awaited")]
-    Awaited,
     /// The answer had gone on for longer than one that crashes its backend server.
     #[display("answer went on")]
     WentOn,
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -120,16 +120,31 @@
 
 /// Guards against parts that are blamed for what is no crash at the beginning of an answer.
 #[rstest]
-#[case::no_head(AnswerStage::Awaited)]
-#[case::long_begun(AnswerStage::Events { reads: 9, since_first: Duration::from_millis(400) })]
-fn other_failures_count_against_no_part(#[case] stage: AnswerStage) {
+#[case::long_begun(FailReason::Broken, AnswerStage::Events { reads: 9, since_first: Duration::from_millis(400) })]
+#[case::server_error(FailReason::ServerError, AnswerStage::Awaited)]
+#[case::malformed(FailReason::Corrupt, AnswerStage::Awaited)]
+fn other_failures_count_against_no_part(#[case] reason: FailReason, #[case] stage: AnswerStage) {
     let mut kit = Kit::new(9);
     arrive_with(&mut kit, "/once/1", &[PART]);
     let work = kit.sent_one().work;
-    fail(&mut kit, work, stage);
+    kit.step(vec![Event::AttemptFailed { work, reason, stage }]);
     assert_eq!(crash_count(&kit), 0);
 }
 
+/// Guards against a crash that counts against no part because it came before the head, or within the
+/// first events.
+#[rstest]
+#[case::awaited(AnswerStage::Awaited)]
+#[case::head(AnswerStage::Begun)]
+#[case::first_event(AnswerStage::Events { reads: 1, since_first: Duration::from_millis(40) })]
+fn crash_at_the_beginning_counts(#[case] stage: AnswerStage) {
+    let mut kit = Kit::new(9);
+    arrive_with(&mut kit, "/once/1", &[PART]);
+    let work = kit.sent_one().work;
+    fail(&mut kit, work, stage);
+    assert_eq!(crash_count(&kit), 1);
+}
+
 /// Guards against a sound part that is blocked because one request met several crashes, and against
 /// a part of which only one request is known that ends one backend server after the other.
 #[test]
