Parts of prompts: a backend server that comes back under its id crashes again

Callers saw requests with a part that ends backend servers sent on to fleets of few servers: with two of them, the part was never blocked.

Cause: crashes were told apart by the hash of id and start time. A server that comes back under its id, before its listing tells of the new start, crashed once, for ever. A failure now carries when its request was sent. Two failures at one incarnation are of one crash only if both requests were open at a time; a request that was sent there after another one broke met another life of the server. It holds across gateways, as both times age alike in a report. Reports get one field more, so during an update gateways of both versions do not share suspects.

The unit test server_that_comes_back_crashes_again does not compile on the code before, which has no such field.

--- a/crates/snipespan_core/src/gateway/message.rs
+++ b/crates/snipespan_core/src/gateway/message.rs
@@ -174,6 +174,8 @@
     pub instance_hash: u64,
     /// Hash of what the request shares with no other one.
     pub request_hash: u64,
+    /// Time from the sending of the request until the connection broke, in ms.
+    pub ran_ms: u32,
     /// Time since the connection to the backend server broke, in ms.
     pub age_ms: u32,
 }
--- a/crates/snipespan_core/src/gateway/systems/attempts.rs
+++ b/crates/snipespan_core/src/gateway/systems/attempts.rs
@@ -180,9 +180,8 @@
     {
         let (id, backend_server) = (row.id.clone(), server.listing.id.clone());
         let (instance_hash, failures) = (server.listing.instance_hash, server.failures);
-        let failure = (reason, stage);
-        let evidence =
-            prompt_parts::record_failure(world, now, request, instance_hash, failure, effects);
+        let (sent, failure) = ((instance_hash, work.dispatched), (reason, stage));
+        let evidence = prompt_parts::record_failure(world, now, request, sent, failure, effects);
         effects.push(Effect::LogDecision(Box::new(Decision::Failed {
             id,
             backend_server,
--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -116,14 +116,15 @@
     }
 }
 
-/// Records that an attempt failed, and returns whether it counts. If its answer had just begun, it
+/// Records that an attempt failed that was sent to an incarnation at a time, and returns whether it
+/// counts. If its answer had just begun, it
 /// counts against the parts of its prompt: only against the blocked ones if there are any, as they
 /// explain the crash.
 pub fn record_failure(
     world: &mut World,
     now: Timestamp,
     request: RequestKey,
-    instance_hash: u64,
+    (instance_hash, sent): (u64, Timestamp),
     (reason, stage): (FailReason, AnswerStage),
     effects: &mut Vec<Effect>,
 ) -> CrashEvidence {
@@ -134,7 +135,7 @@
     let is_blocked = |part: &PromptPart| world.suspects.get(*part).is_some_and(Suspect::is_blocked);
     let blocked: Vec<_> = row.parts.iter().copied().filter(is_blocked).collect();
     let blamed = if blocked.is_empty() { row.parts.to_vec() } else { blocked };
-    let crash = Crash { instance_hash, request_hash: row.own_part.0, at: now };
+    let crash = Crash { instance_hash, request_hash: row.own_part.0, sent, at: now };
     let mut evidence = CrashEvidence::NoParts;
     for part in blamed {
         let counted = count_crash(world, now, part, crash, effects);
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -92,10 +92,25 @@
     pub instance_hash: u64,
     /// Hash of what the request shares with no other one.
     pub request_hash: u64,
+    /// When the request was sent there.
+    pub sent: Timestamp,
     /// When the connection to the backend server broke.
     pub at: Timestamp,
 }
 
+impl Crash {
+    /// Returns whether two failures are of one crash, or of one common cause. A backend server may come
+    /// back as the same incarnation, as far as its listing tells, so a request that was sent there
+    /// after another one broke met another crash.
+    fn is_same(&self, other: &Self) -> bool {
+        let is_of_one_life = self.instance_hash == other.instance_hash
+            && self.sent < other.at
+            && other.sent < self.at;
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        is_of_one_life || apart < SAME_CAUSE_SPAN
+    }
+}
+
 /// Whether a failed attempt counts against the parts of its prompt, and why it does not.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum CrashEvidence {
@@ -197,9 +212,7 @@
 
     /// Returns whether another part met all of its crashes as well.
     pub fn is_explained_by(&self, other: &Self) -> bool {
-        let met = |crash: &Crash| {
-            other.crashes.iter().any(|known| known.instance_hash == crash.instance_hash)
-        };
+        let met = |crash: &Crash| other.crashes.iter().any(|known| known.is_same(crash));
         self.part != other.part && self.crashes.iter().all(met)
     }
 
@@ -213,11 +226,7 @@
 
     /// Adds a crash; returns false if it counts as one with a crash that is known.
     pub fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_one = |known: &Crash| {
-            known.instance_hash == crash.instance_hash
-                || known.at.since(crash.at).max(crash.at.since(known.at)) < SAME_CAUSE_SPAN
-        };
-        if self.crashes.iter().any(is_one) {
+        if self.crashes.iter().any(|known| known.is_same(&crash)) {
             return false;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -251,10 +260,14 @@
         if report.generation < self.generation {
             return false;
         }
-        let reported = report.crashes.iter().take(MAX_CRASHES).map(|crash| Crash {
-            instance_hash: crash.instance_hash,
-            request_hash: crash.request_hash,
-            at: now.before(Duration::from_millis(u64::from(crash.age_ms))),
+        let reported = report.crashes.iter().take(MAX_CRASHES).map(|crash| {
+            let at = now.before(Duration::from_millis(u64::from(crash.age_ms)));
+            Crash {
+                instance_hash: crash.instance_hash,
+                request_hash: crash.request_hash,
+                sent: at.before(Duration::from_millis(u64::from(crash.ran_ms))),
+                at,
+            }
         });
         let reported: Vec<_> = reported.collect();
         let mut is_changed = report.generation > self.generation;
@@ -297,10 +310,12 @@
 
     /// Returns the row as it is reported to peers.
     pub fn report(&self, now: Timestamp) -> PromptPartReport {
-        let age_ms = |at| now.since(at).as_millis().min(u128::from(u32::MAX)) as u32;
+        let ms = |time: Duration| time.as_millis().min(u128::from(u32::MAX)) as u32;
+        let age_ms = |at| ms(now.since(at));
         let crashes = self.crashes.iter().map(|crash| CrashReport {
             instance_hash: crash.instance_hash,
             request_hash: crash.request_hash,
+            ran_ms: ms(crash.at.since(crash.sent)),
             age_ms: age_ms(crash.at),
         });
         PromptPartReport {
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -54,6 +54,7 @@
     let crash = |number: u32| CrashReport {
         instance_hash: u64::from(500 + number),
         request_hash: u64::from(900 + number),
+        ran_ms: 20,
         age_ms: (crashes - 1 - number) * 400,
     };
     let crashes = (0..crashes).map(crash).collect();
@@ -118,6 +119,32 @@
     assert_eq!(kit.refused(), [ResultCode::PromptPartBlocked]);
 }
 
+/// Guards against a backend server that comes back under its id and start time, and whose further
+/// crashes count as the first; and against one crash that counts twice, as its connections break one
+/// after the other.
+#[test]
+fn server_that_comes_back_crashes_again() {
+    let mut kit = Kit::new(1);
+    let send = |kit: &mut Kit| {
+        arrive_with(kit, "/once/1", &[PART]);
+        kit.sent_one().work
+    };
+    let (first, second) = (send(&mut kit), send(&mut kit));
+    kit.advance(Duration::from_millis(20));
+    fail(&mut kit, first, AnswerStage::Awaited);
+    kit.advance(PAUSE);
+    fail(&mut kit, second, AnswerStage::Awaited);
+    assert_eq!(crash_count(&kit), 1, "both were open at the first crash");
+    for crashes in 2..=3 {
+        kit.advance(PAUSE);
+        let work = send(&mut kit);
+        kit.advance(Duration::from_millis(20));
+        fail(&mut kit, work, AnswerStage::Awaited);
+        assert_eq!(crash_count(&kit), crashes);
+    }
+    assert!(is_blocked(&kit, PART));
+}
+
 /// Guards against parts that are blamed for what is no crash at the beginning of an answer.
 #[rstest]
 #[case::long_begun(FailReason::Broken, AnswerStage::Events { reads: 9, since_first: Duration::from_millis(400) })]
--- a/crates/snipespan_core/tests/gateway/stalls.rs
+++ b/crates/snipespan_core/tests/gateway/stalls.rs
@@ -189,6 +189,7 @@
     let crash = |number: u32| CrashReport {
         instance_hash: u64::from(500 + number),
         request_hash: u64::from(900 + number),
+        ran_ms: 20,
         age_ms: (2 - number) * 400,
     };
     let report = PromptPartReport {
--- a/crates/snipespand/tests/gateway/crashing_part.rs
+++ b/crates/snipespand/tests/gateway/crashing_part.rs
@@ -86,7 +86,8 @@
 #[test]
 fn largest_message_of_parts_fits_a_datagram() {
     let max = u64::MAX;
-    let crash = CrashReport { instance_hash: max, request_hash: max, age_ms: u32::MAX };
+    let crash =
+        CrashReport { instance_hash: max, request_hash: max, ran_ms: u32::MAX, age_ms: u32::MAX };
     let report = PromptPartReport {
         part: PromptPart(max),
         generation: u32::MAX,
