Gateway: bytes that are no answer are corrupt, not a broken connection

With crashes before the head counted, an answer whose head is no HTTP would count as the end of its server: the HTTP library reports both as a failed call. A server that hands out wrong bytes goes on, and its callers' parts would be blamed. Such answers now fail as `Corrupt` (result code answer_corrupt, still 502) and count against no part.

Measured: bytes_that_are_no_answer_are_corrupt (text, status 000, 099, 1000 and none, plain answers and streams) failed in all ten cases on the code before, with answer_cut, and passes.

--- a/crates/snipespand/src/gateway/exchange.rs
+++ b/crates/snipespand/src/gateway/exchange.rs
@@ -218,6 +218,10 @@
             log::debug!(request = outbound.id.as_str(); "could not send an attempt: {e}");
             Err(AttemptError::NotRun(NotRunReason::Unreachable))
         }
+        Err(e @ CallError::InvalidHead { .. }) => {
+            log::debug!(request = outbound.id.as_str(); "an attempt got no valid answer: {e}");
+            Err(AttemptError::Failed(FailReason::Corrupt))
+        }
         Err(e) => {
             log::debug!(request = outbound.id.as_str(); "an attempt failed on its connection: {e}");
             Err(AttemptError::Failed(FailReason::Broken))
--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -148,6 +148,31 @@
     assert!(server.connections() > head.len(), "{} sends", server.connections());
 }
 
+/// Guards against bytes that are no answer and reach the client as one, or count as the end of their
+/// server, which goes on.
+#[rstest]
+#[case::text("the server is in trouble\r\n\r\n")]
+#[case::status_0("HTTP/1.1 000 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_99("HTTP/1.1 099 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_without_number("HTTP/1.1 OK\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_1000("HTTP/1.1 1000 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[tokio::test]
+async fn bytes_that_are_no_answer_are_corrupt(
+    #[values("/order/1", "/stream/1")] path: &str,
+    #[case] script: &str,
+) {
+    let service = if path == "/stream/1" { ENGINE } else { PLAIN };
+    let platform = TestPlatform::start(0).await;
+    let server = ScriptedServer::start(vec![Script::Close(script.to_owned())]).await;
+    platform.store.put("servers", "scripted", &server.listing(service));
+    let gateway = platform.gateway("gateway-1").await;
+    let prompt = [("prompt-prefix", "a1:600,b2:400,c3:400")];
+    let answer = gateway.call_with(Method::POST, path, "request-1", &prompt).await;
+    assert_eq!((answer.status, answer.body.contains("answer_corrupt")), (502, true), "{answer:?}");
+    let failed = gateway.wait_for_log("attempt failed", None).await;
+    assert_eq!((&failed["reason"], &failed["evidence"]), (&json!("Corrupt"), &json!("no crash")));
+}
+
 /// Returns an answer that is neither the rest of a stream nor a refusal.
 fn error(status: u16, body: &str) -> String {
     let length = body.len();
