Parts of prompts: only probes that crash lengthen the hold

Callers with a sound part that was blocked by mistake would be refused for minutes: each crash beyond those that block a part made its hold four times as long, also those of requests that were already on their way.

The factor is eight in place of four, so a crashing part is probed after 5, 40 and 320 s and ends fewer servers. Reports get the number of failed probes.

--- a/crates/snipespan_core/src/gateway/message.rs
+++ b/crates/snipespan_core/src/gateway/message.rs
@@ -163,6 +163,8 @@
     pub idle_ms: u32,
     /// Crashes since it was last cleared.
     pub crashes: Vec<CrashReport>,
+    /// Number of crashes by requests that were sent although the part had been blocked.
+    pub failed_probes: u32,
     /// Time since a request with it was sent as a probe, in ms; `None` without an open probe.
     pub probe_age_ms: Option<u32>,
 }
--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -160,7 +160,7 @@
     };
     let was_blocked = row.is_blocked();
     row.was_sound |= was_sound;
-    if !row.add_crash(crash) {
+    if !row.record_crash(crash) {
         return CrashEvidence::KnownCrash;
     }
     row.changed = now;
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -45,8 +45,11 @@
 /// soon after.
 const FIRST_HOLD: Duration = Duration::from_secs(5);
 
-/// Factor on the hold for each further crash.
-const HOLD_FACTOR: u32 = 4;
+/// Factor on the hold for each probe that crashed its backend server.
+const HOLD_FACTOR: u32 = 8;
+
+/// Maximum number of failed probes that lengthen the hold; more would exceed [`MAX_HOLD`].
+const MAX_FAILED_PROBES: u32 = 2;
 
 /// Maximum time for which a part is blocked before it is probed again; with it, the probes crash
 /// one backend server in five minutes.
@@ -156,6 +159,8 @@
     /// Crashes since it was last cleared, oldest first, each [`SAME_CAUSE_SPAN`] after the one
     /// before.
     pub crashes: Vec<Crash>,
+    /// Number of crashes by requests that were sent although the part had been blocked.
+    pub failed_probes: u32,
     /// The open probe.
     pub probe: Option<Probe>,
     /// When a crash was last added or it was last cleared.
@@ -174,6 +179,7 @@
             generation: 0,
             was_sound: false,
             crashes: Vec::new(),
+            failed_probes: 0,
             probe: None,
             changed: now,
         }
@@ -200,11 +206,19 @@
     /// Returns the time from which a blocked part may be probed; `None` if it is not blocked.
     pub fn probe_from(&self) -> Option<Timestamp> {
         let last = self.crashes.last().filter(|_| self.is_blocked())?;
-        let raised = (self.crashes.len() - self.crashes_to_block()) as u32;
+        let raised = self.failed_probes.min(MAX_FAILED_PROBES);
         let held_until = last.at.after((FIRST_HOLD * HOLD_FACTOR.pow(raised)).min(MAX_HOLD));
         Some(held_until.max(self.probe_end()))
     }
 
+    /// Returns whether a request that was sent at `sent` was a probe: the part had been blocked for long
+    /// enough that all gateways knew. Requests that were on their way by then are no sign that the part
+    /// still crashes backend servers.
+    fn is_probe(&self, sent: Timestamp) -> bool {
+        let blocking = self.crashes.get(self.crashes_to_block() - 1);
+        blocking.is_some_and(|crash| sent >= crash.at.after(SAME_CAUSE_SPAN))
+    }
+
     /// Returns the time until which the outcome of the last probe is waited for.
     pub fn probe_end(&self) -> Timestamp {
         self.probe.map_or(Timestamp::ZERO, |probe| probe.began.after(PROBE_TIMEOUT))
@@ -224,8 +238,15 @@
         }
     }
 
-    /// Adds a crash; returns false if it counts as one with a crash that is known.
-    pub fn add_crash(&mut self, crash: Crash) -> bool {
+    /// Adds a crash that this gateway saw; returns false if it counts as one with a crash that is known.
+    pub fn record_crash(&mut self, crash: Crash) -> bool {
+        let is_probe = self.is_probe(crash.sent);
+        let is_new = self.add_crash(crash);
+        self.failed_probes += u32::from(is_new && is_probe);
+        is_new
+    }
+
+    fn add_crash(&mut self, crash: Crash) -> bool {
         if self.crashes.iter().any(|known| known.is_same(&crash)) {
             return false;
         }
@@ -250,6 +271,7 @@
         self.generation += 1;
         self.was_sound = true;
         self.crashes.clear();
+        self.failed_probes = 0;
         self.probe = None;
         self.changed = now;
         true
@@ -275,9 +297,11 @@
             self.generation = report.generation;
             self.was_sound = false;
             self.crashes.clear();
+            self.failed_probes = 0;
             self.probe = None;
         }
         self.was_sound |= report.was_sound;
+        self.failed_probes = self.failed_probes.max(report.failed_probes);
         // Crashes that counted as one here may count as two at the peer; the higher count wins, so
         // that all gateways block the part at the same time.
         let others = match reported.len() > self.crashes.len() {
@@ -324,6 +348,7 @@
             was_sound: self.was_sound,
             idle_ms: age_ms(self.changed),
             crashes: crashes.collect(),
+            failed_probes: self.failed_probes,
             probe_age_ms: self.probe.map(|probe| age_ms(probe.began)),
         }
     }
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -59,7 +59,15 @@
     };
     let crashes = (0..crashes).map(crash).collect();
     let part = PART;
-    PromptPartReport { part, generation, was_sound: false, idle_ms: 0, crashes, probe_age_ms: None }
+    PromptPartReport {
+        part,
+        generation,
+        was_sound: false,
+        idle_ms: 0,
+        crashes,
+        failed_probes: 0,
+        probe_age_ms: None,
+    }
 }
 
 fn receive(kit: &mut Kit, sequence: u64, report: PromptPartReport) {
@@ -245,6 +253,29 @@
     assert_eq!(crash_count(&kit), 0, "a late report of the first crashes");
 }
 
+/// Guards against a sound part that stays blocked for minutes because many requests with it were on
+/// their way when it was blocked, and against a crashing one whose probes do not become rarer.
+#[test]
+fn hold_grows_with_probes_that_crash_only() {
+    let mut kit = Kit::new(9);
+    arrive_with(&mut kit, "/once/1", &[PART]);
+    let open = kit.sent_one().work;
+    kit.advance(PAUSE);
+    receive(&mut kit, 1, report(0, 3));
+    kit.advance(PAUSE);
+    fail(&mut kit, open, AnswerStage::Awaited);
+    assert_eq!(crash_count(&kit), 4);
+    for hold_s in [5, 40, 320] {
+        kit.advance(Duration::from_secs(hold_s - 1));
+        arrive_with(&mut kit, "/once/1", &[PART]);
+        assert!(kit.sent().is_empty(), "within {hold_s} s");
+        kit.advance(Duration::from_secs(2));
+        arrive_with(&mut kit, "/once/1", &[PART]);
+        let work = kit.sent_one().work;
+        fail(&mut kit, work, AnswerStage::Awaited);
+    }
+}
+
 /// Guards against a gateway that probes while another one does.
 #[test]
 fn probe_of_a_peer_is_waited_for() {
--- a/crates/snipespan_core/tests/gateway/stalls.rs
+++ b/crates/snipespan_core/tests/gateway/stalls.rs
@@ -198,6 +198,7 @@
         was_sound: false,
         idle_ms: 0,
         crashes: (0..3).map(crash).collect(),
+        failed_probes: 0,
         probe_age_ms: None,
     };
     let message = kit::peer_message(1, 1, PeerUpdate::PromptParts(vec![report]));
--- a/crates/snipespand/tests/gateway/crashing_part.rs
+++ b/crates/snipespand/tests/gateway/crashing_part.rs
@@ -94,6 +94,7 @@
         was_sound: true,
         idle_ms: u32::MAX,
         crashes: vec![crash; MAX_CRASHES],
+        failed_probes: u32::MAX,
         probe_age_ms: Some(u32::MAX),
     };
     let message = PeerMessage {
