Parts of prompts: a server that goes on within a second has crashed once at most

Sound callers were refused beside connections that were reset again and again: each reset of the same server counted as a crash since a server may come back under its id. Failures at one incarnation now count as one unless the later request was sent a second or more after the earlier break.

--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -41,6 +41,10 @@
 /// once, whatever they were running.
 const SAME_CAUSE_SPAN: Duration = Duration::from_millis(250);
 
+/// Minimum time from the end of a backend server until it takes requests again under the same id. One
+/// that takes some sooner did not end: its connections were reset.
+const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
+
 /// Time for which a part is blocked at first; a sound part that was blocked by mistake is back
 /// soon after.
 const FIRST_HOLD: Duration = Duration::from_secs(5);
@@ -104,11 +108,11 @@
 impl Crash {
     /// Returns whether two failures are of one crash, or of one common cause. A backend server may come
     /// back as the same incarnation, as far as its listing tells, so a request that was sent there
-    /// after another one broke met another crash.
+    /// long enough after another one broke met another crash.
     fn is_same(&self, other: &Self) -> bool {
         let is_of_one_life = self.instance_hash == other.instance_hash
-            && self.sent < other.at
-            && other.sent < self.at;
+            && self.sent < other.at.after(MIN_RESTART_TIME)
+            && other.sent < self.at.after(MIN_RESTART_TIME);
         let apart = self.at.since(other.at).max(other.at.since(self.at));
         is_of_one_life || apart < SAME_CAUSE_SPAN
     }
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -143,8 +143,13 @@
     kit.advance(PAUSE);
     fail(&mut kit, second, AnswerStage::Awaited);
     assert_eq!(crash_count(&kit), 1, "both were open at the first crash");
+    kit.advance(PAUSE);
+    let third = send(&mut kit);
+    kit.advance(Duration::from_millis(20));
+    fail(&mut kit, third, AnswerStage::Awaited);
+    assert_eq!(crash_count(&kit), 1, "it went on at once");
     for crashes in 2..=3 {
-        kit.advance(PAUSE);
+        kit.advance(Duration::from_secs(2));
         let work = send(&mut kit);
         kit.advance(Duration::from_millis(20));
         fail(&mut kit, work, AnswerStage::Awaited);
