Gateway: backend servers that are down are tried again after a pause

Callers whose backend servers were down for two seconds had each request sent again at once, over and over: one of them 978 times, 4.8 MB of log lines a gateway in 25 s with three servers.

Cause: a backend server that refuses connections is suspended, but suspended ones are used while there are no others, by each request, with no pause but 20 ms after a round over all. Such a try takes no retry budget. Now a suspended one that could not serve any request is tried after 100 ms by one request, and after twice that each time, 800 ms at most, until it serves one; the others wait meanwhile. A new incarnation has a row of its own, and is used at once.

--- a/crates/snipespan_core/src/gateway/systems/availability.rs
+++ b/crates/snipespan_core/src/gateway/systems/availability.rs
@@ -208,7 +208,7 @@
 }
 
 /// Returns the backend servers of a request's service that it may be sent to at `now`; suspended
-/// ones only if there are no others.
+/// ones only if there are no others, and not sooner than each is tried again.
 pub fn usable_backend_servers(
     world: &World,
     now: Timestamp,
@@ -222,7 +222,7 @@
         }
         match obstacle(world, now, key, request) {
             None => healthy.push(key),
-            Some(SendObstacle::Suspended { .. }) => suspended.push(key),
+            Some(SendObstacle::Suspended { .. }) if now >= row.retry_from => suspended.push(key),
             Some(_) => {}
         }
     }
--- a/crates/snipespan_core/src/gateway/systems/sending.rs
+++ b/crates/snipespan_core/src/gateway/systems/sending.rs
@@ -127,6 +127,9 @@
     if world.settings.memory_limit.is_some() && body_bytes > MAX_SHORT_BODY {
         world.pending_changes.push(WorkChange::BodySent(work_id(work), body_bytes));
     }
+    if let Some(target) = world.backend_servers.rows.get_mut(server) {
+        target.record_send(now);
+    }
     let version = world.serving.as_ref().map(|serving| serving.version()).unwrap_or_default();
     let left = leaving::record_send(world, now, key, server);
     let Some(target) = world.backend_servers.rows.get(server) else { return };
--- a/crates/snipespan_core/src/gateway/tables/backend_servers.rs
+++ b/crates/snipespan_core/src/gateway/tables/backend_servers.rs
@@ -31,6 +31,13 @@
 /// Maximum suspension of a failing backend server; a restarted one is used again within this time.
 const MAX_SUSPENSION: Duration = Duration::from_secs(4);
 
+/// First pause between tries at a suspended backend server that could not serve any request; doubles
+/// with each further try.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Maximum pause between tries at a suspended backend server.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+
 /// Weight of the newest observation in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.3;
 
@@ -129,6 +136,11 @@
     /// End of its suspension after failures; until then it gets work only if no other backend
     /// server can take it.
     pub suspended_until: Timestamp,
+    /// Time until which no request is tried at it while it is suspended; zero unless it could not serve
+    /// any request.
+    pub retry_from: Timestamp,
+    /// Pause before the next try after `retry_from`; zero unless it could not serve any request.
+    retry_pause: Duration,
     /// Smoothed slowdown at `slowdown_updated`.
     slowdown: f64,
     slowdown_updated: Timestamp,
@@ -162,6 +174,8 @@
             body_bytes: 0,
             failures: 0,
             suspended_until: Timestamp::ZERO,
+            retry_from: Timestamp::ZERO,
+            retry_pause: Duration::ZERO,
             slowdown: 1.0,
             slowdown_updated: now,
             last_prefill_end: now,
@@ -228,12 +242,27 @@
     pub fn record_success(&mut self) {
         self.failures = 0;
         self.suspended_until = Timestamp::ZERO;
+        self.retry_from = Timestamp::ZERO;
+        self.retry_pause = Duration::ZERO;
+    }
+
+    /// Records that a request is sent to it. If it is suspended and could not serve any request before,
+    /// the next one follows after a pause, whatever becomes of this one.
+    pub fn record_send(&mut self, now: Timestamp) {
+        if now < self.suspended_until && !self.retry_pause.is_zero() {
+            self.retry_from = now.after(self.retry_pause);
+            self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
+        }
     }
 
     /// Records a failure and suspends it at once if `is_certain`, which means that no request could
     /// have been served, and otherwise from the third failure in a row.
     pub fn record_failure(&mut self, now: Timestamp, is_certain: bool) {
         self.failures += 1;
+        if is_certain {
+            self.retry_pause = self.retry_pause.max(FIRST_RETRY_PAUSE);
+            self.retry_from = self.retry_from.max(now.after(FIRST_RETRY_PAUSE));
+        }
         let suspensions = match is_certain {
             true => self.failures,
             false => (self.failures + 1).saturating_sub(FAILURES_TO_SUSPEND),
--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -26,3 +26,4 @@
 mod scripted;
 mod spans;
 mod store;
+mod unreachable;
