Parts of prompts: sound parts that come together are probed at once

A prompt that has two blocked parts was the last choice for a probe, 17 s after the crash, though the deadly part, which it does not have, had met all their crashes. Such a prompt is now a probe at once. Which of several crashes within 250 ms is the counted one may differ between two parts, so crashes 500 ms apart may explain each other.

The unit test parts_with_the_crashes_of_a_further_one_are_probed_at_once failed before.

--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -32,7 +32,7 @@
 
 /// Time after its first event within which an answer counts as just begun; two iterations of an
 /// engine. One that goes on after it is sound.
-const BEGINNING: Duration = Duration::from_millis(100);
+pub const BEGINNING: Duration = Duration::from_millis(100);
 
 /// Time by which each gateway waits longer than the one before it in turn, before it probes a part.
 /// It is longer than the interval at which rows are repeated to peers, so that a second gateway
@@ -203,17 +203,17 @@
     let row = world.requests.get(request)?;
     let suspects = row.parts.iter().filter_map(|part| world.suspects.get(*part));
     let blocked: Vec<_> = suspects.filter(|suspect| suspect.is_blocked()).collect();
-    let is_alone = blocked.len() == 1;
+    let is_explained = is_explained(world, &blocked);
     let waits = blocked.iter().filter_map(|suspect| {
         if suspect.probe.is_some_and(|probe| probe.request == Some(request)) {
             return None;
         }
-        let from = match is_alone && is_explained(world, suspect) {
+        let from = match is_explained {
             true => suspect.crashes.last()?.at.max(suspect.probe_end()),
             false => suspect.probe_from()?,
         };
         // A probe of several parts at once shows less than one of each, so it comes last.
-        let turn = match is_alone {
+        let turn = match is_explained || blocked.len() == 1 {
             // The turn is looked up only once a gateway may probe.
             true if from <= now => probe_turn(world, now, suspect.part),
             true => 0,
@@ -225,11 +225,16 @@
     waits.max()
 }
 
-/// Returns whether another blocked part met all crashes of this one. At most one of the two is the
-/// cause, and a prompt with only one of them shows which, so it is worth a probe at once.
-fn is_explained(world: &World, suspect: &Suspect) -> bool {
+/// Returns whether one further blocked part met all crashes of these. Then they may all be sound, and
+/// a prompt with them but without that part shows it, so it is worth a probe at once.
+fn is_explained(world: &World, blocked: &[&Suspect]) -> bool {
+    let is_further = |other: &Suspect| blocked.iter().all(|suspect| suspect.part != other.part);
     let mut others = world.suspects.rows.iter().map(|(_, row)| row);
-    others.any(|other| other.is_blocked() && suspect.is_explained_by(other))
+    others.any(|other| {
+        other.is_blocked()
+            && is_further(other)
+            && blocked.iter().all(|suspect| suspect.is_explained_by(other))
+    })
 }
 
 /// Returns the number of gateways that may probe a part before this one.
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -41,6 +41,9 @@
 /// once, whatever they were running.
 const SAME_CAUSE_SPAN: Duration = Duration::from_millis(250);
 
+/// Time within which crashes of two parts may be the same although each counts another one of several.
+const MAX_APART: Duration = Duration::from_millis(500);
+
 /// Minimum time from the end of a backend server until it takes requests again under the same id. One
 /// that takes some sooner did not end: its connections were reset.
 const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
@@ -113,8 +116,12 @@
         let is_of_one_life = self.instance_hash == other.instance_hash
             && self.sent < other.at.after(MIN_RESTART_TIME)
             && other.sent < self.at.after(MIN_RESTART_TIME);
-        let apart = self.at.since(other.at).max(other.at.since(self.at));
-        is_of_one_life || apart < SAME_CAUSE_SPAN
+        is_of_one_life || self.apart(other) < SAME_CAUSE_SPAN
+    }
+
+    /// Returns the time between two crashes.
+    fn apart(&self, other: &Self) -> Duration {
+        self.at.since(other.at).max(other.at.since(self.at))
     }
 }
 
@@ -228,10 +235,14 @@
         self.probe.map_or(Timestamp::ZERO, |probe| probe.began.after(PROBE_TIMEOUT))
     }
 
-    /// Returns whether another part met all of its crashes as well.
+    /// Returns whether another part met all of its crashes as well. Which of several crashes count as
+    /// one may differ between two parts.
     pub fn is_explained_by(&self, other: &Self) -> bool {
-        let met = |crash: &Crash| other.crashes.iter().any(|known| known.is_same(crash));
-        self.part != other.part && self.crashes.iter().all(met)
+        let met = |crash: &Crash| {
+            let is_met = |known: &Crash| known.is_same(crash) || known.apart(crash) < MAX_APART;
+            other.crashes.iter().any(is_met)
+        };
+        self.crashes.iter().all(met)
     }
 
     /// Returns whether the row is no longer needed.
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -344,3 +344,19 @@
     kit.step(vec![Event::AttemptCompleted { work, longest_gap: Duration::ZERO }]);
     assert!(is_blocked(&kit, PART) && !is_blocked(&kit, shared));
 }
+
+/// Guards against sound parts that stay blocked because all prompts with one of them have two.
+#[test]
+fn parts_with_the_crashes_of_a_further_one_are_probed_at_once() {
+    let (shared, own) = (PromptPart(1), PromptPart(2));
+    let mut kit = Kit::new(9);
+    (0..3).for_each(|_| crash(&mut kit, &[shared, own, PART]));
+    arrive_with(&mut kit, "/draft/1", &[shared, own, PART]);
+    assert_eq!(kit.refused(), [ResultCode::PromptPartBlocked]);
+    arrive_with(&mut kit, "/draft/1", &[shared, own]);
+    let work = kit.sent_one().work;
+    arrive_with(&mut kit, "/draft/1", &[shared, own]);
+    assert_eq!(kit.refused(), [ResultCode::PromptPartBlocked], "one probe at a time");
+    kit.step(vec![Event::AttemptCompleted { work, longest_gap: Duration::ZERO }]);
+    assert!(is_blocked(&kit, PART) && !is_blocked(&kit, shared) && !is_blocked(&kit, own));
+}
