Gateway: a stream reports that it goes on as soon as that clears its parts

Sound callers were refused for five seconds at gateways that had just started beside a deadly part: of 440 requests after the fifth crash a quarter. Streams reported their progress with the first event and then each 250 ms, though an answer that goes on for 100 ms is sound. The part that all prompts share met three crashes before any report, was blocked in place of the deadly one, and hid it.

A stream now reports once more 125 ms after its first event, 25 ms for the way of the first report to the control thread: one event more for each stream.

--- a/crates/snipespan_core/src/gateway/event.rs
+++ b/crates/snipespan_core/src/gateway/event.rs
@@ -58,8 +58,9 @@
         /// Why it did not run.
         reason: NotRunReason,
     },
-    /// Events of an attempt's stream were forwarded to the client; reported for the first of them
-    /// and at intervals after that.
+    /// Events of an attempt's stream were forwarded to the client; reported for the first of them,
+    /// once they go on for [`BEGINNING`](crate::gateway::systems::prompt_parts::BEGINNING), and at
+    /// intervals after that.
     AttemptProgress {
         /// The attempt.
         work: WorkKey,
--- a/crates/snipespand/src/gateway/request_task.rs
+++ b/crates/snipespand/src/gateway/request_task.rs
@@ -379,7 +379,8 @@
         partial.reads += 1;
         self.open_stream(partial, now);
         let is_due = now.since(self.reported_at).as_micros() as u64 >= PROGRESS_INTERVAL_US;
-        if is_due || self.reported_at == self.arrived_at {
+        let is_sound = partial.take_soundness(now);
+        if is_due || is_sound || self.reported_at == self.arrived_at {
             self.reported_at = now;
             self.report(Event::AttemptProgress { work }).await;
         }
--- a/crates/snipespand/tests/gateway/crash_shapes.rs
+++ b/crates/snipespand/tests/gateway/crash_shapes.rs
@@ -76,6 +76,22 @@
     assert!(record.share_served(from) >= 0.9, "{seen}");
 }
 
+/// Guards against a sound part of all prompts that is blocked with the deadly one, at gateways that
+/// have not seen an answer yet.
+#[rstest]
+#[case::head_10(HEAD_END)]
+#[case::silent_10(SILENT_END)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_part_is_known_before_the_deadly_one(#[case] shape: (HeadTiming, Fault)) {
+    let fleet = CrashFleet::start(10, ending(shape, OTHER_ID), STREAM).await;
+    let record = fleet.load(LOAD_TIME, Some(Duration::ZERO)).await;
+    let from = record.limit_from().unwrap_or_else(Instant::now);
+    let seen = describe(&record, from);
+    println!("{seen}");
+    assert!(record.late_deadly_runs() <= MAX_LATE_RUNS, "{seen}");
+    assert!(record.share_served(from) >= 0.9, "{seen}");
+}
+
 /// A failure of servers that no prompt causes.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Failure {
