Soak: replicas end before and after the head, by a reset or in order

The soak's replica sent the head of each stream at once, as the earlier postmortem says, so that the soak could not see a crash before it. Half of the replicas now send the head with the first event, and half of them close their connections in order where the others reset them.

--- a/crates/snipespan_soak/src/run.rs
+++ b/crates/snipespan_soak/src/run.rs
@@ -232,12 +232,13 @@
         Ok(())
     }
 
-    /// Closes the listener and resets the connections of replicas that a deadly part has ended.
+    /// Closes the listener of replicas that a deadly part has ended, and resets their connections or
+    /// closes them in order.
     fn poll_replicas(&mut self, now: Instant) {
         for index in 0..self.platform.replicas.len() {
             let replica = &self.platform.replicas[index];
             let Some(crashed) = replica.fake.ended() else { continue };
-            replica.proxy.set_fault(Fault::Down);
+            replica.proxy.set_fault(if index % 4 < 2 { Fault::Down } else { Fault::Closed });
             if self.history.crashes.contains(&crashed) {
                 continue;
             }
--- a/crates/snipespan_soak/src/site.rs
+++ b/crates/snipespan_soak/src/site.rs
@@ -80,7 +80,11 @@
                     pause: EVENT_PAUSE,
                     slots: 64,
                     memory_tokens: 232_000,
-                    head_timing: HeadTiming::default(),
+                    // Half of the replicas end before the head of an answer on the deadly part.
+                    head_timing: match number % 2 {
+                        0 => HeadTiming::AtOnce,
+                        _ => HeadTiming::WithFirstEvent,
+                    },
                 };
                 let fake = FakeReplica::start(replica_config.clone(), any_port).await?;
                 let proxy = FaultProxy::start_at(addresses.proxies(), fake.address()).await?;
