Answers with a status over 599 are invalid

On other systems a replica in trouble sent a status of 000, and the client got it as an answer. Here 000, 099, 1000 and none were refused by the HTTP library, but 600 and 999 are numbers to it, and went to the client as they were: at gateways, and from plain services of the own interface. HTTP has no such status; both now fail as answer_corrupt, 502.

--- a/crates/snipespan_backend/src/plain_service.rs
+++ b/crates/snipespan_backend/src/plain_service.rs
@@ -39,10 +39,10 @@
         Self { url: url.into(), client }
     }
 
-    /// Sends a call and returns the streamed response; any HTTP status counts as an answer.
+    /// Sends a call and returns the streamed response; any status that HTTP has counts as an answer.
     ///
     /// # Errors
-    /// [`BackendError`] if the call fails before the answer begins.
+    /// [`BackendError`] if the call fails before the answer begins, or its status is over 599.
     pub async fn call(
         &self,
         call: &ServiceCall,
@@ -60,7 +60,11 @@
         let req = req.map_err(|e| BackendError::Unreachable {
             detail: format_compact!("invalid HTTP request: {e}"),
         })?;
-        self.client.request(req).await.map_err(|e| classify_error(&e))
+        let response = self.client.request(req).await.map_err(|e| classify_error(&e))?;
+        match response.status().as_u16() {
+            ..600 => Ok(response),
+            status => Err(BackendError::Corrupt { detail: format_compact!("status {status}") }),
+        }
     }
 
     /// Checks that the service answers a HEAD request of its root path, with any status.
--- a/crates/snipespand/tests/gateway/odd_answers.rs
+++ b/crates/snipespand/tests/gateway/odd_answers.rs
@@ -154,6 +154,8 @@
 #[case::text("the server is in trouble\r\n\r\n")]
 #[case::status_0("HTTP/1.1 000 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
 #[case::status_99("HTTP/1.1 099 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_600("HTTP/1.1 600 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_999("HTTP/1.1 999 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
 #[case::status_without_number("HTTP/1.1 OK\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
 #[case::status_1000("HTTP/1.1 1000 X\r\nserver-stamp: s\r\ncontent-length: 2\r\n\r\nok")]
 #[tokio::test]
