Tests: uploads that are reset while they are written

On other systems a client got a part of an answer as a whole one, when the replica had answered a long upload at once without a length and reset the connection. Nothing is changed; the tests keep it so.

--- a/crates/snipespand/tests/gateway/main.rs
+++ b/crates/snipespand/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod harness;
 mod home_regions;
 mod large_configurations;
+mod long_uploads;
 mod memory;
 mod named_limits;
 mod observing;
