Test: a gateway that starts late knows the blocked part

A gateway joins while a part is blocked and gets ten requests with it at once. The issue's lead names it, and no test with real processes covered it.

--- a/crates/snipespand/tests/gateway/crash_fleet.rs
+++ b/crates/snipespand/tests/gateway/crash_fleet.rs
@@ -177,6 +177,26 @@
         proxy.set_fault(Fault::None);
     }
 
+    /// Starts one more gateway, and sends it deadly requests one after the other as soon as it is ready.
+    pub(crate) async fn send_deadly_to_new_gateway(&self, count: u64) {
+        let gateway = self.platform.gateway("gateway-4").await;
+        for number in 0..count {
+            let (id, prompt) = deadly_request(0x20_0000 + number);
+            send(&gateway, self.path, &id, &prompt).await;
+        }
+    }
+
+    /// Returns the times at which deadly requests began to run.
+    pub(crate) fn deadly_runs(&self) -> Vec<Instant> {
+        let runs = self.incarnations().into_iter().flat_map(|fake| fake.runs());
+        let deadly = runs.filter(|run| has_part(&run.headers, DEADLY_PART));
+        deadly.map(|run| run.began).collect()
+    }
+
+    fn incarnations(&self) -> Vec<Arc<FakeReplica>> {
+        self.hosts.iter().flat_map(|host| lock(&host.incarnations).clone()).collect()
+    }
+
     /// Sends sound requests for `duration`, and deadly ones from `deadly_from` on if it is given.
     pub(crate) async fn load(&self, duration: Duration, deadly_from: Option<Duration>) -> Record {
         let sound = self.send_at_rate(duration, SOUND_INTERVAL, Duration::ZERO, |number| {
@@ -185,22 +205,12 @@
         });
         let deadly = async {
             let Some(from) = deadly_from else { return Vec::new() };
-            let prompt = |number: u64| {
-                let own = number + 0x10_0000;
-                (format!("deadly-{number}"), format!("f0:40,{DEADLY_PART:x}:165,{own:x}:1920"))
-            };
-            self.send_at_rate(duration, DEADLY_INTERVAL, from, prompt).await
+            self.send_at_rate(duration, DEADLY_INTERVAL, from, deadly_request).await
         };
         let (sound, _) = tokio::join!(sound, deadly);
-        let incarnations = self.hosts.iter().flat_map(|host| lock(&host.incarnations).clone());
-        let incarnations: Vec<_> = incarnations.collect();
-        let runs = incarnations.iter().flat_map(|fake| fake.runs());
-        let deadly_runs = runs.filter(|run| has_part(&run.headers, DEADLY_PART));
-        let mut record = Record {
-            deadly_runs: deadly_runs.map(|run| run.began).collect(),
-            crashes: incarnations.iter().filter_map(|fake| fake.ended()).collect(),
-            sound,
-        };
+        let ended = self.incarnations().into_iter().filter_map(|fake| fake.ended());
+        let mut record =
+            Record { deadly_runs: self.deadly_runs(), crashes: ended.collect(), sound };
         record.crashes.sort();
         record
     }
@@ -235,6 +245,12 @@
     }
 }
 
+/// Returns the id and the prompt of a request with the deadly part.
+fn deadly_request(number: u64) -> (String, String) {
+    let own = number + 0x10_0000;
+    (format!("deadly-{number}"), format!("f0:40,{DEADLY_PART:x}:165,{own:x}:1920"))
+}
+
 /// Sends one request and reads its answer; no answer counts as not served.
 async fn send(gateway: &Gateway, path: &str, id: &str, prompt: &str) -> SoundRequest {
     let sent = Instant::now();
--- a/crates/snipespand/tests/gateway/crash_shapes.rs
+++ b/crates/snipespand/tests/gateway/crash_shapes.rs
@@ -92,6 +92,19 @@
     assert!(record.share_served(from) >= 0.9, "{seen}");
 }
 
+/// Guards against a gateway that starts while a part is blocked, and ends servers until it has seen
+/// enough crashes of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_that_starts_late_knows_the_blocked_part() {
+    let fleet = CrashFleet::start(10, ending(SILENT_END, OTHER_ID), STREAM).await;
+    let record = fleet.load(Duration::from_secs(4), Some(CALM)).await;
+    assert!(record.crashes.len() >= 3, "{}", describe(&record, Instant::now()));
+    let before = fleet.deadly_runs().len();
+    fleet.send_deadly_to_new_gateway(10).await;
+    let late = fleet.deadly_runs().len() - before;
+    assert!(late <= MAX_LATE_RUNS, "{late} runs");
+}
+
 /// A failure of servers that no prompt causes.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Failure {
