Parts of prompts: the number of failed probes is bounded; names and comments

Found on reading the change: a peer's report with the largest number of failed probes and one more failed probe would overflow, which ends the control thread of a debug build. largest_number_of_failed_probes_is_bounded panicked before and passes.

--- a/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/systems/prompt_parts.rs
@@ -2,8 +2,8 @@
 //! ones.
 //!
 //! A crash breaks all connections to a backend server, and only one of its requests is the cause.
-//! So a crash counts against the parts of each prompt whose answer had just begun there, and a part
-//! is cleared by any answer that began after such a crash and went on.
+//! So a crash counts against the parts of each prompt whose answer had not begun there, or had just
+//! begun, and a part is cleared by any answer that began after such a crash and went on.
 
 use std::time::Duration;
 
@@ -102,24 +102,21 @@
 /// Returns why an attempt that failed in this way is no sign of a crash by its prompt; `None` if it
 /// may be one: the answer had not gone on for long, or its head had not arrived. A backend server that
 /// begins to write may end before any byte has left it.
-const fn exonerate(reason: FailReason, stage: AnswerStage) -> Option<CrashEvidence> {
-    if !matches!(reason, FailReason::Broken) {
+fn counter_evidence(reason: FailReason, stage: AnswerStage) -> Option<CrashEvidence> {
+    if reason != FailReason::Broken {
         return Some(CrashEvidence::NoCrash);
     }
     match stage {
-        AnswerStage::Events { since_first, .. }
-            if since_first.as_nanos() >= BEGINNING.as_nanos() =>
-        {
+        AnswerStage::Events { since_first, .. } if since_first >= BEGINNING => {
             Some(CrashEvidence::WentOn)
         }
         AnswerStage::Awaited | AnswerStage::Begun | AnswerStage::Events { .. } => None,
     }
 }
 
-/// Records that an attempt failed that was sent to an incarnation at a time, and returns whether it
-/// counts. If its answer had just begun, it
-/// counts against the parts of its prompt: only against the blocked ones if there are any, as they
-/// explain the crash.
+/// Records that an attempt failed, which was sent to an incarnation at a time, and returns whether it
+/// counts. If it may be a crash, it counts against the parts of its prompt: only against the blocked
+/// ones if there are any, as they explain it.
 pub fn record_failure(
     world: &mut World,
     now: Timestamp,
@@ -128,7 +125,7 @@
     (reason, stage): (FailReason, AnswerStage),
     effects: &mut Vec<Effect>,
 ) -> CrashEvidence {
-    if let Some(evidence) = exonerate(reason, stage) {
+    if let Some(evidence) = counter_evidence(reason, stage) {
         return evidence;
     }
     let Some(row) = world.requests.get(request) else { return CrashEvidence::NoParts };
--- a/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
+++ b/crates/snipespan_core/src/gateway/tables/prompt_parts.rs
@@ -55,7 +55,7 @@
 /// Factor on the hold for each probe that crashed its backend server.
 const HOLD_FACTOR: u32 = 8;
 
-/// Maximum number of failed probes that lengthen the hold; more would exceed [`MAX_HOLD`].
+/// Maximum number of failed probes that are counted; more would lengthen the hold beyond [`MAX_HOLD`].
 const MAX_FAILED_PROBES: u32 = 2;
 
 /// Maximum time for which a part is blocked before it is probed again; with it, the probes crash
@@ -170,7 +170,8 @@
     /// Crashes since it was last cleared, oldest first, each [`SAME_CAUSE_SPAN`] after the one
     /// before.
     pub crashes: Vec<Crash>,
-    /// Number of crashes by requests that were sent although the part had been blocked.
+    /// Number of crashes by requests that were sent although the part had been blocked, up to
+    /// [`MAX_FAILED_PROBES`].
     pub failed_probes: u32,
     /// The open probe.
     pub probe: Option<Probe>,
@@ -217,8 +218,8 @@
     /// Returns the time from which a blocked part may be probed; `None` if it is not blocked.
     pub fn probe_from(&self) -> Option<Timestamp> {
         let last = self.crashes.last().filter(|_| self.is_blocked())?;
-        let raised = self.failed_probes.min(MAX_FAILED_PROBES);
-        let held_until = last.at.after((FIRST_HOLD * HOLD_FACTOR.pow(raised)).min(MAX_HOLD));
+        let hold = FIRST_HOLD * HOLD_FACTOR.pow(self.failed_probes);
+        let held_until = last.at.after(hold.min(MAX_HOLD));
         Some(held_until.max(self.probe_end()))
     }
 
@@ -257,7 +258,8 @@
     pub fn record_crash(&mut self, crash: Crash) -> bool {
         let is_probe = self.is_probe(crash.sent);
         let is_new = self.add_crash(crash);
-        self.failed_probes += u32::from(is_new && is_probe);
+        let failed_probes = self.failed_probes + u32::from(is_new && is_probe);
+        self.failed_probes = failed_probes.min(MAX_FAILED_PROBES);
         is_new
     }
 
@@ -316,7 +318,7 @@
             self.probe = None;
         }
         self.was_sound |= report.was_sound;
-        self.failed_probes = self.failed_probes.max(report.failed_probes);
+        self.failed_probes = self.failed_probes.max(report.failed_probes).min(MAX_FAILED_PROBES);
         // Crashes that counted as one here may count as two at the peer; the higher count wins, so
         // that all gateways block the part at the same time.
         let others = match reported.len() > self.crashes.len() {
--- a/crates/snipespan_core/tests/gateway/prompt_parts.rs
+++ b/crates/snipespan_core/tests/gateway/prompt_parts.rs
@@ -360,3 +360,17 @@
     kit.step(vec![Event::AttemptCompleted { work, longest_gap: Duration::ZERO }]);
     assert!(is_blocked(&kit, PART) && !is_blocked(&kit, shared) && !is_blocked(&kit, own));
 }
+
+/// Guards against a number of failed probes in a report that ends the control thread by an overflow.
+#[test]
+fn largest_number_of_failed_probes_is_bounded() {
+    let mut kit = Kit::new(9);
+    let mut largest = report(0, 3);
+    largest.failed_probes = u32::MAX;
+    receive(&mut kit, 1, largest);
+    kit.advance(Duration::from_secs(322));
+    arrive_with(&mut kit, "/once/1", &[PART]);
+    let work = kit.sent_one().work;
+    fail(&mut kit, work, AnswerStage::Awaited);
+    assert!(is_blocked(&kit, PART));
+}
--- a/crates/snipespand/tests/gateway/crash_fleet.rs
+++ b/crates/snipespand/tests/gateway/crash_fleet.rs
@@ -68,8 +68,8 @@
     path: &'static str,
 }
 
-/// A sound request.
-pub(crate) struct SoundRequest {
+/// A request and what its client got.
+pub(crate) struct SentRequest {
     pub(crate) sent: Instant,
     pub(crate) is_served: bool,
     pub(crate) is_blocked: bool,
@@ -81,7 +81,7 @@
     pub(crate) deadly_runs: Vec<Instant>,
     /// Times at which servers ended.
     pub(crate) crashes: Vec<Instant>,
-    pub(crate) sound: Vec<SoundRequest>,
+    pub(crate) sound: Vec<SentRequest>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -223,7 +223,7 @@
         interval: Duration,
         from: Duration,
         describe: impl Fn(u64) -> (String, String),
-    ) -> Vec<SoundRequest> {
+    ) -> Vec<SentRequest> {
         let mut requests = JoinSet::new();
         let mut ticks = tokio::time::interval_at(tokio::time::Instant::now() + from, interval);
         let count = (duration - from).div_duration_f64(interval) as u64;
@@ -241,7 +241,6 @@
 impl Drop for CrashFleet {
     fn drop(&mut self) {
         self.supervisors.iter().for_each(JoinHandle::abort);
-        let _ = &self.platform;
     }
 }
 
@@ -252,20 +251,20 @@
 }
 
 /// Sends one request and reads its answer; no answer counts as not served.
-async fn send(gateway: &Gateway, path: &str, id: &str, prompt: &str) -> SoundRequest {
+async fn send(gateway: &Gateway, path: &str, id: &str, prompt: &str) -> SentRequest {
     let sent = Instant::now();
-    let mut request_result = SoundRequest { sent, is_served: false, is_blocked: false };
+    let mut outcome = SentRequest { sent, is_served: false, is_blocked: false };
     let Ok(mut connection) = Connection::open(gateway.clients, WAIT_TIMEOUT).await else {
-        return request_result;
+        return outcome;
     };
     let method = if path.starts_with("/stream/") { Method::POST } else { Method::GET };
     let req = request(method, path, id, &[("prompt-prefix", prompt)]);
     if let Ok(response) = connection.send(req).await {
         let answer = read_answer(response).await;
-        request_result.is_served = answer.status == 200 && answer.is_complete;
-        request_result.is_blocked = answer.body.contains("prompt_part_blocked");
+        outcome.is_served = answer.status == 200 && answer.is_complete;
+        outcome.is_blocked = answer.body.contains("prompt_part_blocked");
     }
-    request_result
+    outcome
 }
 
 impl Record {
