--- a/review/standins2/src/bin/unseen_cold.rs
+++ b/review/standins2/src/bin/unseen_cold.rs
@@ -63,7 +63,7 @@
                 let end = if outcome.is_complete { "complete" } else { "cut" };
                 record.note(&format!("{} ends: status {}, {end}", call.id, outcome.status));
             });
-            std::thread::sleep(Duration::from_micros(4500));
+            std::thread::sleep(Duration::from_micros(11_500));
         }
     });
     std::thread::sleep(Duration::from_secs(8));
