--- a/review/standins2/src/bin/lost_block.rs
+++ b/review/standins2/src/bin/lost_block.rs
@@ -19,6 +19,7 @@
         sound_parts: |number| format!("aa01:40,{:x}:400", 0x10000 + number),
         sound_pause: Duration::from_millis(100),
         is_deadly: true,
+        crash_delay: None,
         kills: if has_trouble() { vec![Duration::from_secs(17)] } else { Vec::new() },
         length: Duration::from_secs(95),
     };
--- a/review/standins2/src/bin/many_parts.rs
+++ b/review/standins2/src/bin/many_parts.rs
@@ -26,6 +26,7 @@
         },
         sound_pause: Duration::from_millis(300),
         is_deadly: has_trouble(),
+        crash_delay: None,
         kills: Vec::new(),
         length: Duration::from_secs(40),
     };
--- a/review/standins2/src/deadly.rs
+++ b/review/standins2/src/deadly.rs
@@ -35,6 +35,8 @@
     pub sound_parts: fn(u64) -> String,
     /// Whether the replicas crash at the part.
     pub is_deadly: bool,
+    /// Time from the first event of an answer to the crash; `None` if no event is written before.
+    pub crash_delay: Option<Duration>,
     /// When all gateways are killed, each a second before its restart.
     pub kills: Vec<Duration>,
     /// Length of the run.
@@ -45,7 +47,7 @@
 pub fn run(folder: &Path, record: &Record, plan: &Plan) -> usize {
     let store = Store::start();
     store.put("op", "config", CONFIGURATION);
-    let spec = |number| spec(number, plan.is_deadly);
+    let spec = |number| spec(number, plan);
     let replicas: Vec<_> = (0..8).map(|n| Replica::start(spec(n), &store, record)).collect();
     let mut gateways = ZONES.map(|zone| {
         let zones = ZONES.map(|zone| (zone.to_owned(), "at-graz".to_owned()));
@@ -143,7 +145,7 @@
     });
 }
 
-fn spec(number: usize, is_deadly: bool) -> Spec {
+fn spec(number: usize, plan: &Plan) -> Spec {
     Spec {
         name: format!("i-{number}"),
         service: "llm".to_owned(),
@@ -153,7 +155,8 @@
         first: Duration::from_millis(60),
         gap: Duration::from_millis(30),
         is_plain: false,
-        deadly_part: is_deadly.then(|| DEADLY_PART.to_owned()),
+        deadly_part: plan.is_deadly.then(|| DEADLY_PART.to_owned()),
+        crash_delay: plan.crash_delay,
         down: Duration::from_millis(3000),
         crash_rate: None,
     }
--- a/review/standins2/src/replica.rs
+++ b/review/standins2/src/replica.rs
@@ -44,6 +44,9 @@
     pub is_plain: bool,
     /// A part of prompts that crashes it as it begins to write an answer.
     pub deadly_part: Option<String>,
+    /// Time between the first event of an answer and the crash at the deadly part; without it the
+    /// replica crashes before the first event.
+    pub crash_delay: Option<Duration>,
     /// Time for which it is down after a crash.
     pub down: Duration,
     /// Requests in a second from which it crashes while it is cold.
@@ -372,6 +375,10 @@
         );
         writer.write_all(head.as_bytes())?;
         if is_deadly {
+            if let Some(delay) = self.spec.crash_delay {
+                write_event(writer, last + 1, id)?;
+                std::thread::sleep(delay);
+            }
             self.crash(true, None);
             return Err(std::io::ErrorKind::BrokenPipe.into());
         }
@@ -379,13 +386,17 @@
             if event > last + 1 {
                 std::thread::sleep(self.spec.gap);
             }
-            let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
-            writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            write_event(writer, event, id)?;
         }
         writer.write_all(b"0\r\n\r\n")
     }
 }
 
+fn write_event(writer: &mut TcpStream, event: u64, id: &str) -> std::io::Result<()> {
+    let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+    writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
+
 fn cold_ms(state: &State) -> u128 {
     let left = state.cold_until.map(|until| until.saturating_duration_since(Instant::now()));
     left.unwrap_or_default().as_millis()
