--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-case=review/standins2/target/release/unseen_cold
+case=review/standins2/target/release/lost_block
 if [ ! -x target/release/snipespand ] || [ ! -x "$case" ]; then
     echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
     exit 2
--- a/review/standins2/src/bin/unseen_cold.rs
+++ b/review/standins2/src/bin/unseen_cold.rs
@@ -147,6 +147,7 @@
         gap: Duration::from_millis(10),
         is_plain: false,
         deadly_part: None,
+        is_spoiling: false,
         crash_delay: None,
         down: Duration::from_secs(3),
         crash_rate: Some(BOUND + BOUND / 2),
--- a/review/standins2/src/deadly.rs
+++ b/review/standins2/src/deadly.rs
@@ -156,6 +156,7 @@
         gap: Duration::from_millis(30),
         is_plain: false,
         deadly_part: plan.is_deadly.then(|| DEADLY_PART.to_owned()),
+        is_spoiling: false,
         crash_delay: plan.crash_delay,
         down: Duration::from_millis(3000),
         crash_rate: None,
--- a/review/standins2/src/replica.rs
+++ b/review/standins2/src/replica.rs
@@ -27,6 +27,9 @@
 /// Time for which a cold replica bears any rate.
 const CRASH_AFTER: Duration = Duration::from_secs(2);
 
+/// Pause between comments.
+const COMMENT_PAUSE: Duration = Duration::from_millis(200);
+
 /// A replica's figures.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -44,6 +47,8 @@
     pub is_plain: bool,
     /// A part of prompts that crashes it as it begins to write an answer.
     pub deadly_part: Option<String>,
+    /// Whether it answers 3 of 100 requests with comments without end in place of events.
+    pub is_spoiling: bool,
     /// Time between the first event of an answer and the crash at the deadly part; without it the
     /// replica crashes before the first event.
     pub crash_delay: Option<Duration>,
@@ -315,6 +320,7 @@
             is_cold,
             status: if is_full { 503 } else { 0 },
         });
+        let is_spoiled = self.spec.is_spoiling && index % 33 == 5;
         let this_life = state.generation;
         let name = state.id.clone();
         let begin = at.saturating_sub(Duration::from_secs(1));
@@ -338,6 +344,7 @@
         }
         let written = match self.spec.is_plain {
             true => self.write_plain(&id, &name, writer),
+            false if is_spoiled => self.write_comments(&id, &name, writer),
             false => self.write_stream(req, &id, &name, is_deadly, writer),
         };
         let mut state = self.state();
@@ -359,6 +366,17 @@
         writer.write_all(text.as_bytes())
     }
 
+    /// Writes comments until the caller closes the connection.
+    fn write_comments(&self, id: &str, name: &str, writer: &mut TcpStream) -> std::io::Result<()> {
+        self.record.note(&format!("{name} writes comments only to {id}"));
+        writer.write_all(stream_head(id, name).as_bytes())?;
+        loop {
+            let text = format!(": {name} waits\n\n");
+            writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            std::thread::sleep(COMMENT_PAUSE);
+        }
+    }
+
     fn write_stream(
         &self,
         req: &Message,
@@ -369,11 +387,7 @@
     ) -> std::io::Result<()> {
         let last = req.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0u64);
         std::thread::sleep(self.spec.first);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: stamp.{name}\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        );
-        writer.write_all(head.as_bytes())?;
+        writer.write_all(stream_head(id, name).as_bytes())?;
         if is_deadly {
             if let Some(delay) = self.spec.crash_delay {
                 write_event(writer, last + 1, id)?;
@@ -392,8 +406,20 @@
     }
 }
 
+fn stream_head(id: &str, name: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: stamp.{name}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Returns an event of the answer to a request.
+pub fn event_text(event: u64, id: &str) -> String {
+    format!("id: {event}\ndata: piece {event} of {id}\n\n")
+}
+
 fn write_event(writer: &mut TcpStream, event: u64, id: &str) -> std::io::Result<()> {
-    let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+    let text = event_text(event, id);
     writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
 }
 
