review: enough replicas get traffic in case 9 (review/9)

Cause: with 4 of 8 replicas and short streams one run in four sent nothing to a replica that spoils answers. Change: 6 of 10 replicas, within the site's share of 0.6, and streams of 32 events.

--- a/review/standins2/src/bin/foreign_bytes.rs
+++ b/review/standins2/src/bin/foreign_bytes.rs
@@ -20,10 +20,10 @@
 use standins2::store::Store;
 
 const ZONES: [&str; 3] = ["graz-a", "graz-b", "graz-c"];
-const REPLICAS: usize = 8;
+const REPLICAS: usize = 10;
 /// Number of replicas that spoil answers, within the site's share of 0.6.
-const SPOILING: usize = 4;
-const EVENTS: u64 = 10;
+const SPOILING: usize = 6;
+const EVENTS: u64 = 32;
 const LENGTH: Duration = Duration::from_secs(25);
 
 fn main() -> ExitCode {
@@ -116,7 +116,7 @@
         slots: 16,
         events: EVENTS,
         first: Duration::from_millis(60),
-        gap: Duration::from_millis(100),
+        gap: Duration::from_millis(60),
         is_plain: false,
         deadly_part: None,
         is_spoiling: number < SPOILING && has_trouble(),
