--- a/review/standins2/src/client.rs
+++ b/review/standins2/src/client.rs
@@ -36,6 +36,8 @@
     pub id: String,
     pub key: String,
     pub deadline: Duration,
+    /// Silence after which the client leaves; `None` for its deadline.
+    pub patience: Option<Duration>,
     /// Further header lines, each with its line end.
     pub more: String,
     pub body: Vec<u8>,
@@ -51,8 +53,9 @@
 fn exchange(gateway: SocketAddr, call: &Call, outcome: &mut Outcome) -> std::io::Result<()> {
     let mut stream = TcpStream::connect_timeout(&gateway, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(call.deadline + Duration::from_secs(1)))?;
-    let Call { method, path, host, id, key, deadline, more, body } = call;
+    stream
+        .set_read_timeout(Some(call.patience.unwrap_or(call.deadline + Duration::from_secs(1))))?;
+    let Call { method, path, host, id, key, deadline, more, body, .. } = call;
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
          Authorization: Token {key}\r\n{more}Content-Length: {}\r\n\r\n",
--- a/review/standins2/src/deadly.rs
+++ b/review/standins2/src/deadly.rs
@@ -133,6 +133,7 @@
                     id: format!("{name}-{number}"),
                     key: "key-1".to_owned(),
                     deadline: Duration::from_secs(10),
+                    patience: None,
                     more: format!("Model: m\r\nToken-Count: 540,60\r\nPrompt-Prefix: {parts}\r\n"),
                     body: b"the prompt".to_vec(),
                 };
@@ -156,7 +157,7 @@
         gap: Duration::from_millis(30),
         is_plain: false,
         deadly_part: plan.is_deadly.then(|| DEADLY_PART.to_owned()),
-        is_spoiling: false,
+        spoiler: None,
         crash_delay: plan.crash_delay,
         down: Duration::from_millis(3000),
         crash_rate: None,
--- a/review/standins2/src/replica.rs
+++ b/review/standins2/src/replica.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +32,29 @@
 /// Pause between comments.
 const COMMENT_PAUSE: Duration = Duration::from_millis(200);
 
+/// Spoils the last one of each `EVERY` answers that several replicas give within the given times.
+#[derive(Debug, Default)]
+pub struct Spoiler {
+    windows: Mutex<Vec<(Duration, Duration)>>,
+    answers: AtomicUsize,
+}
+
+impl Spoiler {
+    /// One in 34 is below the site's 0.03.
+    const EVERY: usize = 34;
+
+    /// Adds a time in which answers are spoiled.
+    pub fn add_window(&self, from: Duration, length: Duration) {
+        self.windows.lock().expect("no panic").push((from, from + length));
+    }
+
+    fn takes(&self, at: Duration) -> bool {
+        let windows = self.windows.lock().expect("no panic");
+        windows.iter().any(|(from, until)| at >= *from && at < *until)
+            && self.answers.fetch_add(1, Ordering::Relaxed) % Self::EVERY == Self::EVERY - 1
+    }
+}
+
 /// A replica's figures.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -47,8 +72,8 @@
     pub is_plain: bool,
     /// A part of prompts that crashes it as it begins to write an answer.
     pub deadly_part: Option<String>,
-    /// Whether it answers 3 of 100 requests with comments without end in place of events.
-    pub is_spoiling: bool,
+    /// Decides which of its answers are comments without end in place of events; `None` if none are.
+    pub spoiler: Option<Arc<Spoiler>>,
     /// Time between the first event of an answer and the crash at the deadly part; without it the
     /// replica crashes before the first event.
     pub crash_delay: Option<Duration>,
@@ -320,7 +345,7 @@
             is_cold,
             status: if is_full { 503 } else { 0 },
         });
-        let is_spoiled = self.spec.is_spoiling && index % 33 == 5;
+        let is_spoiled = self.spec.spoiler.as_ref().is_some_and(|spoiler| spoiler.takes(at));
         let this_life = state.generation;
         let name = state.id.clone();
         let begin = at.saturating_sub(Duration::from_secs(1));
